--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use marigoldhatch::platform::LogClient;
+use marigoldhatch::upstream::LogClient;
 use marigoldhatch::wire::LogRecord;
 use marigoldhatch::wire::MemberRecord;
 use marigoldhatch_standins::endpoint::EndpointBehaviour;
--- a/demo/src/fleet.rs
+++ b/demo/src/fleet.rs
@@ -12,7 +12,7 @@
 use marigoldhatch::operator::publish_config;
 use marigoldhatch::operator::withdraw_key;
 use marigoldhatch::operator::FleetLog;
-use marigoldhatch::platform::hash_key;
+use marigoldhatch::upstream::hash_key;
 use marigoldhatch::settings::CheckedDocument;
 use marigoldhatch::settings::TeamAnswers;
 use marigoldhatch::settings::ANSWERS_SCHEMA;
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -33,3 +33,13 @@
         self.start.elapsed()
     }
 }
+
+/// Time since the machine started, which goes on while the VM is suspended.
+///
+/// Knowledge that must not outlive a bound is dated by it, since the steady clock stands still in a
+/// suspended VM. A clock that can't be read gives zero, which makes all such knowledge too old.
+pub fn boot_now() -> Duration {
+    nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME)
+        .map(Duration::from)
+        .unwrap_or(Duration::ZERO)
+}
--- a/src/codes/mod.rs
+++ b/src/codes/mod.rs
@@ -4,3 +4,4 @@
 
 pub use result::ResultClass;
 pub use result::ResultCode;
+pub use result::RESULT_HEADER;
--- a/src/codes/result.rs
+++ b/src/codes/result.rs
@@ -2,9 +2,13 @@
 
 use http_body_util::Full;
 use hyper::body::Bytes;
+use hyper::header::HeaderName;
 use hyper::Response;
 use hyper::StatusCode;
 
+/// Number and class of the result.
+pub const RESULT_HEADER: HeaderName = HeaderName::from_static("x-marigoldhatch-result");
+
 /// The three answers that there are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResultClass {
@@ -158,7 +162,7 @@
             hyper::header::HeaderValue::from_static("application/json"),
         );
         if let Ok(value) = hyper::header::HeaderValue::from_str(&self.header_value()) {
-            headers.insert(crate::platform::RESULT_HEADER, value);
+            headers.insert(RESULT_HEADER, value);
         }
         response
     }
--- a/src/daemon/control/run.rs
+++ b/src/daemon/control/run.rs
@@ -22,7 +22,7 @@
 use crate::daemon::shared::SharedState;
 use crate::daemon::shared::TokenErrand;
 use crate::daemon::start::StartError;
-use crate::platform::LogClient;
+use crate::upstream::LogClient;
 use crate::wire::LogRecord;
 
 /// How long a daemon waits at its start for the log before it goes on with what peers give it.
--- a/src/daemon/control/state.rs
+++ b/src/daemon/control/state.rs
@@ -26,7 +26,7 @@
 use crate::decisions::ownership::OwnershipLedger;
 use crate::decisions::ownership::WitnessLedger;
 use crate::decisions::rates::TokenHome;
-use crate::platform::LogClient;
+use crate::upstream::LogClient;
 use crate::wire::EndpointDrain;
 use crate::wire::MemberRecord;
 
--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use crate::platform::LogClient;
+use crate::upstream::LogClient;
 use crate::settings::CheckedDocument;
 use crate::settings::DaemonSettings;
 use crate::settings::DocumentError;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -30,8 +30,8 @@
 use crate::decisions::ownership::AckBounds;
 use crate::observe::FleetMetrics;
 use crate::observe::LogEvent;
-use crate::platform::LogClient;
-use crate::platform::LogError;
+use crate::upstream::LogClient;
+use crate::upstream::LogError;
 
 /// Asks for tokens that may wait for the control thread.
 const MAX_ERRANDS: usize = 4_096;
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -26,7 +26,7 @@
 use crate::codes::ResultCode;
 use crate::daemon::shared::lock;
 use crate::daemon::view::EndpointEntry;
-use crate::platform::RESULT_HEADER;
+use crate::codes::RESULT_HEADER;
 use crate::transport::SendError;
 use crate::transport::SendPlan;
 use crate::transport::WholeAnswer;
--- a/src/daemon/traffic/entry.rs
+++ b/src/daemon/traffic/entry.rs
@@ -29,10 +29,10 @@
 use crate::decisions::keys::KeyStanding;
 use crate::decisions::retries::RetryAllowance;
 use crate::observe::LogEvent;
-use crate::platform::find_caller_key;
-use crate::platform::hash_key;
-use crate::platform::CredentialError;
-use crate::platform::CONTEXT_HEADER;
+use crate::upstream::find_caller_key;
+use crate::upstream::hash_key;
+use crate::upstream::CredentialError;
+use crate::upstream::CONTEXT_HEADER;
 use crate::wire::Importance;
 
 /// The deepest chain of calls; a longer one is taken for a loop.
--- a/src/daemon/traffic/reply.rs
+++ b/src/daemon/traffic/reply.rs
@@ -9,7 +9,7 @@
 use super::headers;
 use crate::codes::ResultClass;
 use crate::codes::ResultCode;
-use crate::platform::RESULT_HEADER;
+use crate::codes::RESULT_HEADER;
 use crate::transport::WholeAnswer;
 
 /// What became of a call, with the endpoint's answer if there is one.
--- a/src/daemon/traffic/request.rs
+++ b/src/daemon/traffic/request.rs
@@ -13,10 +13,10 @@
 
 use super::headers;
 use crate::codes::ResultCode;
-use crate::platform::holds_key;
-use crate::platform::strip_credentials;
-use crate::platform::DEADLINE_HEADER;
-use crate::platform::IDEMPOTENCY_HEADER;
+use crate::upstream::holds_key;
+use crate::upstream::strip_credentials;
+use crate::upstream::DEADLINE_HEADER;
+use crate::upstream::IDEMPOTENCY_HEADER;
 
 /// What goes on to an endpoint, free of keys and of what is only for one hop.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/src/decisions/placement/balance.rs
@@ -0,0 +1,50 @@
+//! The choice of an executor by work in hand over slots.
+//!
+//! Endpoints of one service differ in speed. A slow one holds each call longer, so equal occupancy
+//! gives each endpoint work in proportion to its speed without an estimate of it. See
+//! `docs/design/placement.md`.
+
+use rand::Rng;
+
+/// The own failure domain is kept while its occupancy is below this: queueing begins well above.
+const DOMAIN_SLACK: f64 = 0.5;
+/// A cold endpoint counts as having this share of its slots, since it runs at about half speed.
+const COLD_SHARE: f64 = 0.5;
+/// Occupancies closer than this count as equal, so that entries with the same reports spread.
+const JITTER: f64 = 0.06;
+
+/// What an entry knows of one executor.
+#[derive(Debug, Clone, Copy)]
+pub struct ExecutorLoad {
+    /// Calls that run or wait there, as reported, and those sent since.
+    pub in_hand: u32,
+    /// Calls that the endpoint runs at once.
+    pub slots: u32,
+    pub cold: bool,
+    pub same_domain: bool,
+}
+
+impl ExecutorLoad {
+    fn occupancy(&self) -> f64 {
+        let share = if self.cold { COLD_SHARE } else { 1.0 };
+        (f64::from(self.in_hand) + 1.0) / (f64::from(self.slots.max(1)) * share)
+    }
+}
+
+/// Picks the position of the executor that takes the next call, or none if there is none.
+pub fn pick_executor(loads: &[ExecutorLoad], rng: &mut impl Rng) -> Option<usize> {
+    let mut best: Option<(usize, f64)> = None;
+    let mut near: Option<(usize, f64)> = None;
+    for (index, load) in loads.iter().enumerate() {
+        let occupancy = load.occupancy();
+        let score = occupancy + rng.random_range(0.0..JITTER);
+        if best.is_none_or(|(_, low)| score < low) {
+            best = Some((index, score));
+        }
+        let fits = load.same_domain && occupancy < DOMAIN_SLACK;
+        if fits && near.is_none_or(|(_, low)| score < low) {
+            near = Some((index, score));
+        }
+    }
+    near.or(best).map(|(index, _)| index)
+}
--- a/src/decisions/placement/mod.rs
+++ b/src/decisions/placement/mod.rs
@@ -2,11 +2,16 @@
 //!
 //! See `docs/design/placement.md`.
 
+mod balance;
 mod choice;
+#[cfg(feature = "product")]
 mod measure;
 
+pub use balance::pick_executor;
+pub use balance::ExecutorLoad;
 pub use choice::choose_endpoint;
 pub use choice::ChoiceReason;
 pub use choice::EndpointCandidate;
 pub use choice::EndpointChoice;
+#[cfg(feature = "product")]
 pub use measure::EndpointMeasure;
--- /dev/null
+++ b/src/decisions/quota/mod.rs
@@ -0,0 +1,9 @@
+//! Rate and burst of an organisation over all daemons, by shares that follow demand.
+//!
+//! See `docs/design/rates.md`, part "On a platform with slack".
+
+mod share;
+
+pub use share::PeerDemand;
+pub use share::QuotaRule;
+pub use share::QuotaShare;
--- /dev/null
+++ b/src/decisions/quota/share.rs
@@ -0,0 +1,125 @@
+//! One daemon's part of an organisation's quota.
+//!
+//! Every daemon reports what it admits. Each keeps an estimate of the organisation's whole token
+//! bucket from these reports. While the bucket is well filled a request enters freely, so that
+//! uneven arrivals cost nobody a refusal; near empty, a daemon keeps to its own part of the rate.
+
+use std::time::Duration;
+
+/// Part of the burst below which a daemon keeps to its own share of the rate.
+const FREE_LEVEL: f64 = 0.5;
+/// A daemon's own part holds this many seconds of its rate for uneven arrivals.
+const OWN_SECONDS: f64 = 0.4;
+/// A daemon with no demand yet may admit this many requests at once.
+const OWN_FLOOR: f64 = 1.0;
+/// Weight of a new second in the smoothed demand.
+const DEMAND_WEIGHT: f64 = 0.3;
+
+/// The quota of one organisation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaRule {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: f64,
+}
+
+/// What the other daemons reported since the last call.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PeerDemand {
+    /// Requests a second that they were asked for.
+    pub rate: f64,
+    /// Requests that they admitted since the last report.
+    pub admitted: f64,
+    /// Daemons that may serve the organisation, this one included.
+    pub daemons: usize,
+}
+
+/// The state of one organisation at one daemon.
+#[derive(Debug)]
+pub struct QuotaShare {
+    fleet_level: f64,
+    own_level: f64,
+    own_rate: f64,
+    peer_rate: f64,
+    daemons: usize,
+    asked: f64,
+    admitted: u64,
+    updated: Duration,
+}
+
+impl QuotaShare {
+    /// Starts with nothing saved: a daemon that restarts must not bring a new burst.
+    pub fn start(now: Duration) -> Self {
+        Self {
+            fleet_level: 0.0,
+            own_level: OWN_FLOOR,
+            own_rate: 0.0,
+            peer_rate: 0.0,
+            daemons: 1,
+            asked: 0.0,
+            admitted: 0,
+            updated: now,
+        }
+    }
+
+    /// Requests that this daemon admitted since its start, for its report.
+    pub fn admitted(&self) -> u64 {
+        self.admitted
+    }
+
+    /// Requests a second that this daemon is asked for, for its report.
+    pub fn demand(&self) -> f64 {
+        self.own_rate
+    }
+
+    /// The estimate of the organisation's bucket and of this daemon's own part, for log lines.
+    pub fn levels(&self) -> (f64, f64) {
+        (self.fleet_level, self.own_level)
+    }
+
+    /// Admits one request if the quota has room for it.
+    pub fn admit(&mut self, rule: &QuotaRule, now: Duration) -> bool {
+        self.refill(rule, now);
+        self.asked += 1.0;
+        let free = self.fleet_level >= rule.burst * FREE_LEVEL;
+        if !free && self.own_level < 1.0 {
+            return false;
+        }
+        self.fleet_level -= 1.0;
+        self.own_level = (self.own_level - 1.0).max(0.0);
+        self.admitted += 1;
+        true
+    }
+
+    /// Takes what the other daemons reported, `elapsed` after the last such call.
+    pub fn learn(&mut self, peers: PeerDemand, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64().max(0.01);
+        let weight = (DEMAND_WEIGHT * seconds).min(1.0);
+        self.own_rate += weight * (self.asked / seconds - self.own_rate);
+        self.asked = 0.0;
+        self.peer_rate = peers.rate;
+        self.daemons = peers.daemons.max(1);
+        self.fleet_level -= peers.admitted;
+    }
+
+    fn refill(&mut self, rule: &QuotaRule, now: Duration) {
+        let seconds = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = now;
+        self.fleet_level = (self.fleet_level + rule.rate * seconds).clamp(-rule.burst, rule.burst);
+        let own = rule.rate * self.share();
+        let most = (own * OWN_SECONDS).max(OWN_FLOOR);
+        self.own_level = (self.own_level + own * seconds).min(most);
+    }
+
+    /// The part of the rate that is this daemon's, by demand.
+    fn share(&self) -> f64 {
+        let even = 1.0 / self.daemons as f64;
+        let total = self.own_rate + self.peer_rate;
+        if total < 1.0 {
+            return even;
+        }
+        // A tenth is dealt evenly, so that a daemon whose demand has just begun isn't starved.
+        0.1 * even + 0.9 * self.own_rate / total
+    }
+}
--- a/src/decisions/retries/mod.rs
+++ b/src/decisions/retries/mod.rs
@@ -4,6 +4,9 @@
 
 mod allowance;
 mod budget;
+mod window;
 
 pub use allowance::RetryAllowance;
 pub use budget::RetryBudget;
+pub use window::RepeatBudget;
+pub use window::RepeatRule;
--- /dev/null
+++ b/src/mesh/control/peer_link.rs
@@ -0,0 +1,205 @@
+//! The link to one other daemon: opened, pinged and opened again.
+
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use hyper::body::Bytes;
+use hyper::StatusCode;
+use rand::Rng;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+use super::super::executor::CallOutcome;
+use super::super::executor::EndpointAnswer;
+use super::super::executor::read_hello;
+use super::super::fleet::DaemonReport;
+use super::super::fleet::Peer;
+use super::super::fleet::PeerReply;
+use super::super::link::decode_frame;
+use super::super::link::header_map;
+use super::super::link::open_link;
+use super::super::link::tune_stream;
+use super::super::link::LinkFrame;
+use super::super::link::LinkReader;
+use super::super::link::LinkSender;
+use super::super::state::MeshState;
+use crate::clock::boot_now;
+use crate::observe::LogEvent;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// A fleet of a few dozen spends a few kilobytes a second on reports at this interval.
+const PING_EVERY: Duration = Duration::from_millis(300);
+/// In larger fleets each daemon more adds this to the interval, so that reports cost the same.
+const PING_PER_DAEMON: Duration = Duration::from_millis(10);
+/// A link with no frame for this many intervals is gone.
+const SILENT_PINGS: u32 = 4;
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// A daemon that can't be reached for this long is forgotten; it makes itself known on its return.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Time that the platform's own delivery of a new configuration gets before a peer is asked.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Keeps a link to a daemon until it is forgotten.
+pub async fn keep_link(state: Rc<MeshState>, peer: Rc<Peer>) {
+    let mut backoff = MIN_BACKOFF;
+    let mut reached = Instant::now();
+    while reached.elapsed() < FORGET_AFTER {
+        match open(&state, &peer).await {
+            Ok((reader, sender)) => {
+                run_link(&state, &peer, reader, sender).await;
+                peer.detach();
+                state.index_services();
+                let event = LogEvent::PeerUnreachable.number();
+                tracing::warn!(event, peer = %peer.address, "the link to a daemon broke");
+                backoff = MIN_BACKOFF;
+                reached = Instant::now();
+                // The next connection tells at once whether the process is still there.
+                continue;
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => peer.give_up(),
+            Err(_) => {}
+        }
+        let spread = state.rng.borrow_mut().random_range(0.7..1.3);
+        tokio::time::sleep(backoff.mul_f64(spread)).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+    peer.give_up();
+    state.forget(peer.address);
+}
+
+async fn open(state: &MeshState, peer: &Peer) -> std::io::Result<(LinkReader, LinkSender)> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await??;
+    tune_stream(&stream)?;
+    let (mut reader, sender) = open_link(stream);
+    sender.send(&LinkFrame::Hello(state.hello()), &[]);
+    let hello = timeout(CONNECT_TIMEOUT, read_hello(&mut reader)).await?;
+    let hello = hello.ok_or(ErrorKind::UnexpectedEof)?;
+    peer.attach(sender.clone(), hello.incarnation);
+    Ok((reader, sender))
+}
+
+async fn run_link(state: &Rc<MeshState>, peer: &Peer, mut reader: LinkReader, sender: LinkSender) {
+    let interval = PING_EVERY.max(PING_PER_DAEMON * state.daemons() as u32);
+    let mut link = LinkTask {
+        state: state.clone(),
+        sequence: 0,
+        pinged: boot_now(),
+        behind_since: None,
+    };
+    let mut heard = Instant::now();
+    let mut next_ping = Instant::now();
+    loop {
+        if Instant::now() >= next_ping {
+            if heard.elapsed() > interval * SILENT_PINGS {
+                return;
+            }
+            link.ping(&sender);
+            next_ping = Instant::now() + interval;
+        }
+        match timeout_at(next_ping, reader.next()).await {
+            Err(_) => continue,
+            Ok(Some(Ok(bytes))) => {
+                heard = Instant::now();
+                if let Err(error) = link.take_frame(peer, &sender, bytes.freeze()) {
+                    tracing::warn!(peer = %peer.address, %error, "a frame can't be read");
+                    return;
+                }
+            }
+            Ok(_) => return,
+        }
+    }
+}
+
+struct LinkTask {
+    state: Rc<MeshState>,
+    sequence: u32,
+    pinged: Duration,
+    behind_since: Option<Instant>,
+}
+
+impl LinkTask {
+    fn ping(&mut self, sender: &LinkSender) {
+        self.sequence += 1;
+        self.pinged = boot_now();
+        let sequence = self.sequence;
+        sender.send(&LinkFrame::Ping { sequence }, &[]);
+    }
+
+    fn take_frame(
+        &mut self,
+        peer: &Peer,
+        sender: &LinkSender,
+        bytes: Bytes,
+    ) -> Result<(), postcard::Error> {
+        let (frame, body_at) = decode_frame(&bytes)?;
+        match frame {
+            LinkFrame::Report { sequence, report } => {
+                self.take_report(peer, sender, sequence, report)
+            }
+            LinkFrame::Answer(head) => {
+                peer.note_load(head.in_hand);
+                let answer = EndpointAnswer {
+                    status: StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY),
+                    headers: header_map(&head.headers),
+                    body: bytes.slice(body_at..),
+                };
+                let outcome = CallOutcome::Answered(answer);
+                peer.resolve(head.call, PeerReply::Outcome(outcome));
+            }
+            LinkFrame::Refused {
+                call,
+                cause,
+                in_hand,
+            } => {
+                peer.note_load(in_hand);
+                peer.resolve(call, PeerReply::Outcome(CallOutcome::Refused(cause)));
+            }
+            LinkFrame::Unknown { call, in_hand } => {
+                peer.note_load(in_hand);
+                peer.resolve(call, PeerReply::Outcome(CallOutcome::Unknown));
+            }
+            LinkFrame::Config { .. } => {
+                let raw = Bytes::copy_from_slice(&bytes[body_at..]);
+                self.state.apply_config(&raw, "peer");
+            }
+            _ => tracing::warn!(peer = %peer.address, "a frame that only a sending daemon sends"),
+        }
+        Ok(())
+    }
+
+    fn take_report(
+        &mut self,
+        peer: &Peer,
+        sender: &LinkSender,
+        sequence: u32,
+        report: DaemonReport,
+    ) {
+        let version = report.config_version;
+        if sequence == self.sequence {
+            if let Some(age) = report.proof_age_ms {
+                // The age was true after the ping left, so the proof is at least as new as this.
+                let age = Duration::from_millis(u64::from(age));
+                self.state
+                    .prove_newest(version, self.pinged.saturating_sub(age));
+            }
+        }
+        if peer.take_report(report) {
+            self.state.index_services();
+        }
+        if version <= self.state.config_version() {
+            self.behind_since = None;
+            return;
+        }
+        let since = *self.behind_since.get_or_insert_with(Instant::now);
+        let waited = since.elapsed() >= CONFIG_PATIENCE;
+        if waited || self.state.config_version() == 0 {
+            self.behind_since = None;
+            sender.send(&LinkFrame::WantConfig, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/control/tick.rs
@@ -0,0 +1,46 @@
+//! Deals the shares of the gate anew a few times a second.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::super::fleet::DaemonReport;
+use super::super::state::MeshState;
+
+/// Time between two deals; reports of peers come about as often.
+const DEAL_EVERY: Duration = Duration::from_millis(250);
+
+/// Deals until the task is dropped.
+pub async fn keep_shares(state: Rc<MeshState>) {
+    let mut last = state.now();
+    let mut known = state.endpoint_report().map(|one| one.service);
+    loop {
+        tokio::time::sleep(DEAL_EVERY).await;
+        let now = state.now();
+        deal(&state, now.saturating_sub(last));
+        last = now;
+        // An endpoint that fell silent is taken out without waiting for the next ping.
+        let service = state.endpoint_report().map(|one| one.service);
+        if service != known {
+            known = service;
+            state.announce();
+        }
+    }
+}
+
+fn deal(state: &MeshState, elapsed: Duration) {
+    let peers = state.peers();
+    let mut reports: Vec<(u64, DaemonReport)> = Vec::with_capacity(peers.len() + 1);
+    for peer in &peers {
+        if let Some(report) = peer.with_report(Clone::clone) {
+            let id = (u64::from(u32::from(*peer.address.ip())) << 16)
+                | u64::from(peer.address.port());
+            reports.push((id, report));
+        }
+    }
+    let used = state.executor.take_usage();
+    let mut gate = state.gate.borrow_mut();
+    gate.measure(&used, elapsed);
+    let own = state.endpoint_report();
+    gate.deal_quotas(&reports, elapsed);
+    gate.deal_classes(&reports, own.as_ref());
+}
--- /dev/null
+++ b/src/mesh/entry/admit.rs
@@ -0,0 +1,175 @@
+//! Whether a request may enter: its route, its key, its organisation's quota and its class's share.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::super::fleet::hash_name;
+use super::super::fleet::OrganisationRule;
+use super::super::fleet::RouteRule;
+use super::super::fleet::RouteTable;
+use super::super::link::CallOrigin;
+use super::super::state::MeshState;
+use super::head;
+use crate::codes::ResultCode;
+use crate::decisions::roots::ClassKey;
+
+/// A new request waits for a slot for at most this part of its latency target; then it is refused
+/// while its caller can still come back in time.
+const PATIENCE_PART: f64 = 0.125;
+
+/// A request that may go to a service.
+#[derive(Debug)]
+pub struct AdmittedRequest {
+    pub service: Rc<str>,
+    pub idempotent: bool,
+    pub organisation: Option<String>,
+    pub origin: CallOrigin,
+    pub deadline: Instant,
+    pub patience: Duration,
+    pub max_attempts: u32,
+    pub latency_target: Duration,
+}
+
+/// A request that doesn't enter.
+#[derive(Debug)]
+pub struct RefusedRequest {
+    pub code: ResultCode,
+    /// Time after which the caller may find room.
+    pub retry_after: Option<Duration>,
+    /// The share that was dealt to the request's class.
+    pub share: f64,
+    pub route: String,
+    pub organisation: String,
+}
+
+/// Decides about a request that arrived at `arrived`.
+pub fn admit(
+    state: &MeshState,
+    routes: &RouteTable,
+    path: &str,
+    headers: &HeaderMap,
+    arrived: Instant,
+) -> Result<AdmittedRequest, Box<RefusedRequest>> {
+    let Some(route) = routes.find_route(head::host(headers), path) else {
+        return Err(refused(ResultCode::NoRoute, None));
+    };
+    let organisation = find_organisation(state, routes, route, headers)?;
+    let asked = head::caller_deadline(&state.dialect, headers);
+    let time = asked.unwrap_or(route.timeout).min(route.timeout);
+    let own_deadline = arrived + asked.unwrap_or(route.timeout);
+    let origin = find_origin(state, route, organisation, own_deadline);
+    let refuse = |code, share| {
+        let retry_after = retry_after(state, route, asked.unwrap_or(route.timeout));
+        Err(Box::new(RefusedRequest {
+            code,
+            retry_after: Some(retry_after),
+            share,
+            route: route.name.clone(),
+            organisation: organisation.map_or(String::new(), |one| one.name.clone()),
+        }))
+    };
+    if let Some(owner) = organisation.filter(|_| !origin.nested) {
+        let mut gate = state.gate.borrow_mut();
+        let quota = owner.quota.as_ref();
+        if quota.is_some_and(|rule| !gate.admit_organisation(&owner.name, rule, state.now())) {
+            return refuse(ResultCode::OverRate, 1.0);
+        }
+    }
+    if !origin.nested {
+        let mut gate = state.gate.borrow_mut();
+        if !gate.admit_class(origin.class) {
+            return refuse(ResultCode::RefusedEarly, gate.class_share(origin.class));
+        }
+    }
+    let part = route.draw_part(&mut *state.rng.borrow_mut());
+    let Some(part) = part else {
+        return refuse(ResultCode::NoEndpoint, 1.0);
+    };
+    let patience = if origin.nested {
+        time
+    } else {
+        route.latency_target.mul_f64(PATIENCE_PART)
+    };
+    Ok(AdmittedRequest {
+        service: part.service.clone(),
+        idempotent: route.idempotent,
+        organisation: organisation.map(|one| one.name.clone()),
+        origin,
+        deadline: arrived + time,
+        patience,
+        max_attempts: route.max_attempts,
+        latency_target: route.latency_target,
+    })
+}
+
+fn find_organisation<'a>(
+    state: &MeshState,
+    routes: &'a RouteTable,
+    route: &RouteRule,
+    headers: &HeaderMap,
+) -> Result<Option<&'a OrganisationRule>, Box<RefusedRequest>> {
+    let key = head::bearer_key(headers);
+    let organisation = key.and_then(|key| routes.find_organisation(key));
+    let tenanted = !routes.config().organisations.is_empty();
+    if route.open_to_all || !tenanted {
+        return Ok(organisation);
+    }
+    if state.proof_too_old() {
+        let wait = state.settings.proof_age_limit / 4;
+        return Err(refused(ResultCode::CutOff, Some(wait)));
+    }
+    match (key, organisation) {
+        (None, _) => Err(refused(ResultCode::KeyMissing, None)),
+        (Some(_), None) => Err(refused(ResultCode::KeyRefused, None)),
+        (Some(_), found) => Ok(found),
+    }
+}
+
+/// A call of the endpoint on this VM carries its parent's origin on; all else begins here.
+fn find_origin(
+    state: &MeshState,
+    route: &RouteRule,
+    organisation: Option<&OrganisationRule>,
+    deadline: Instant,
+) -> CallOrigin {
+    let keyless = route.open_to_all && organisation.is_none();
+    if keyless {
+        if let Some(parent) = state.executor.find_parent(deadline) {
+            return CallOrigin {
+                nested: true,
+                ..parent
+            };
+        }
+    }
+    let rank = organisation.and_then(|one| one.rank).unwrap_or(route.rank);
+    CallOrigin {
+        class: ClassKey {
+            rank,
+            route: hash_name(&route.name),
+        },
+        nested: keyless,
+        repeat: false,
+    }
+}
+
+/// When to come back: soon enough to be answered within the latency target, and spread, so that the
+/// refused don't return together.
+pub fn retry_after(state: &MeshState, route: &RouteRule, left: Duration) -> Duration {
+    let latest = (route.latency_target / 2).min(left / 3);
+    let part = state.rng.borrow_mut().random_range(0.4..1.0);
+    latest.mul_f64(part)
+}
+
+fn refused(code: ResultCode, retry_after: Option<Duration>) -> Box<RefusedRequest> {
+    Box::new(RefusedRequest {
+        code,
+        retry_after,
+        share: 1.0,
+        route: String::new(),
+        organisation: String::new(),
+    })
+}
--- /dev/null
+++ b/src/mesh/entry/gate.rs
@@ -0,0 +1,273 @@
+//! The entry's knowledge for admission: quotas, shares of classes and budgets of repeats.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::super::fleet::hash_name;
+use super::super::fleet::ClassRate;
+use super::super::fleet::DaemonReport;
+use super::super::fleet::EndpointReport;
+use super::super::fleet::OrganisationDemand;
+use super::super::fleet::RouteUsage;
+use crate::decisions::quota::PeerDemand;
+use crate::decisions::quota::QuotaRule;
+use crate::decisions::quota::QuotaShare;
+use crate::decisions::retries::RepeatBudget;
+use crate::decisions::retries::RepeatRule;
+use crate::decisions::roots::share_supply;
+use crate::decisions::roots::ClassDemand;
+use crate::decisions::roots::ClassKey;
+use crate::decisions::roots::ServiceSupply;
+use crate::decisions::roots::SupplyTrim;
+use crate::decisions::roots::TreeCosts;
+
+/// Smoothing of rates over a deal; a second or so of memory follows a burst closely enough.
+const RATE_WEIGHT: f64 = 0.25;
+/// Share of a service's slots that is planned for; near full, service times grow.
+const PLANNED_USE: f64 = 0.93;
+/// Rates travel as whole numbers of requests in this many seconds.
+const CLASS_SECONDS: f64 = 100.0;
+
+#[derive(Debug)]
+struct ClassState {
+    offered: u32,
+    admitted: u32,
+    offered_rate: f64,
+    admitted_rate: f64,
+    share: f64,
+    credit: f64,
+}
+
+impl Default for ClassState {
+    fn default() -> Self {
+        Self {
+            offered: 0,
+            admitted: 0,
+            offered_rate: 0.0,
+            admitted_rate: 0.0,
+            share: 1.0,
+            credit: 0.5,
+        }
+    }
+}
+
+/// The gate of one entry.
+#[derive(Debug, Default)]
+pub struct EntryGate {
+    classes: HashMap<ClassKey, ClassState>,
+    quotas: HashMap<u32, QuotaShare>,
+    peer_admitted: HashMap<(u64, u32), u64>,
+    usage: HashMap<u32, f64>,
+    costs: TreeCosts,
+    trims: HashMap<u32, SupplyTrim>,
+    repeats: HashMap<u32, RepeatBudget>,
+}
+
+impl EntryGate {
+    /// Lets a request of a class in, or not, by the share that was dealt to it.
+    pub fn admit_class(&mut self, class: ClassKey) -> bool {
+        let state = self.classes.entry(class).or_default();
+        state.offered += 1;
+        state.credit = (state.credit + state.share).min(2.0);
+        if state.credit < 1.0 {
+            return false;
+        }
+        state.credit -= 1.0;
+        state.admitted += 1;
+        true
+    }
+
+    /// The share that was dealt to a class, for log lines.
+    pub fn class_share(&self, class: ClassKey) -> f64 {
+        self.classes.get(&class).map_or(1.0, |state| state.share)
+    }
+
+    /// Charges an organisation's quota, if it has room.
+    pub fn admit_organisation(&mut self, name: &str, rule: &QuotaRule, now: Duration) -> bool {
+        let quota = self.quotas.entry(hash_name(name));
+        quota
+            .or_insert_with(|| QuotaShare::start(now))
+            .admit(rule, now)
+    }
+
+    /// The budget of repeats to a service.
+    pub fn repeats(&mut self, service: &str) -> &mut RepeatBudget {
+        self.repeats.entry(hash_name(service)).or_default()
+    }
+
+    /// Spends one repeat to a service, if its budget has room.
+    pub fn spend_repeat(
+        &mut self,
+        service: &str,
+        rule: &RepeatRule,
+        daemons: usize,
+        now: Duration,
+    ) -> bool {
+        self.repeats(service).spend(rule, daemons, now)
+    }
+
+    /// Smooths what this daemon saw since the last deal.
+    pub fn measure(&mut self, used: &HashMap<u32, f64>, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64().max(0.01);
+        for state in self.classes.values_mut() {
+            smooth(&mut state.offered_rate, f64::from(state.offered) / seconds);
+            smooth(&mut state.admitted_rate, f64::from(state.admitted) / seconds);
+            state.offered = 0;
+            state.admitted = 0;
+        }
+        for route in used.keys() {
+            self.usage.entry(*route).or_default();
+        }
+        for (route, busy) in &mut self.usage {
+            smooth(busy, used.get(route).copied().unwrap_or(0.0) / seconds);
+        }
+        self.usage.retain(|_, busy| *busy > 1e-4);
+    }
+
+    /// Deals each quota by the demand that all daemons report.
+    pub fn deal_quotas(&mut self, reports: &[(u64, DaemonReport)], elapsed: Duration) {
+        for (name, quota) in &mut self.quotas {
+            let mut peers = PeerDemand {
+                daemons: reports.len() + 1,
+                ..PeerDemand::default()
+            };
+            for (peer, report) in reports {
+                let mut demands = report.organisations.iter();
+                let Some(demand) = demands.find(|one| one.name == *name) else {
+                    continue;
+                };
+                peers.rate += f64::from(demand.rate_tenths) / 10.0;
+                let last = self.peer_admitted.insert((*peer, *name), demand.admitted);
+                // A daemon that restarted counts from nothing again.
+                let new = last.map_or(0, |last| demand.admitted.saturating_sub(last));
+                peers.admitted += new as f64;
+            }
+            quota.learn(peers, elapsed);
+        }
+    }
+
+    /// Deals each class the share that the scarce services can carry.
+    pub fn deal_classes(
+        &mut self,
+        reports: &[(u64, DaemonReport)],
+        own: Option<&EndpointReport>,
+    ) {
+        let mut fleet = FleetView::default();
+        for (_, report) in reports {
+            fleet.add(report.endpoint.as_ref(), &report.classes, &report.usage);
+        }
+        fleet.add(own, &self.class_rates(), &self.usage());
+        for ((route, service), busy) in &fleet.busy {
+            let admitted = fleet.admitted.get(route).copied().unwrap_or(0.0);
+            self.costs.observe(*route, *service, *busy, admitted);
+        }
+        let services: Vec<u32> = fleet.services.keys().copied().collect();
+        let supplies: Vec<ServiceSupply> = services
+            .iter()
+            .map(|service| self.supply(*service, &fleet.services[service]))
+            .collect();
+        let demands: Vec<ClassDemand> = fleet
+            .offered
+            .iter()
+            .map(|(key, offered)| ClassDemand {
+                key: *key,
+                offered: *offered,
+                costs: self.costs.at(key.route, &services),
+            })
+            .collect();
+        let shares = share_supply(&supplies, &demands);
+        for (demand, share) in demands.iter().zip(shares) {
+            if let Some(state) = self.classes.get_mut(&demand.key) {
+                state.share = share;
+            }
+        }
+    }
+
+    /// What this entry is asked for and admits, by class.
+    pub fn class_rates(&self) -> Vec<ClassRate> {
+        let live = self.classes.iter().filter(|(_, one)| one.offered_rate > 0.02);
+        live.map(|(class, state)| ClassRate {
+            class: *class,
+            offered: (state.offered_rate * CLASS_SECONDS) as u32,
+            admitted: (state.admitted_rate * CLASS_SECONDS) as u32,
+        })
+        .collect()
+    }
+
+    /// What each organisation asks of this entry.
+    pub fn organisation_demand(&self) -> Vec<OrganisationDemand> {
+        let quotas = self.quotas.iter();
+        quotas
+            .map(|(name, quota)| OrganisationDemand {
+                name: *name,
+                rate_tenths: (quota.demand() * 10.0) as u32,
+                admitted: quota.admitted(),
+            })
+            .collect()
+    }
+
+    /// What trees of each route use at the endpoint beside this daemon.
+    pub fn usage(&self) -> Vec<RouteUsage> {
+        let usage = self.usage.iter();
+        usage
+            .map(|(route, busy)| RouteUsage {
+                route: *route,
+                busy_ms: (busy * 1000.0) as u32,
+            })
+            .collect()
+    }
+
+    fn supply(&mut self, service: u32, view: &ServiceView) -> ServiceSupply {
+        let trim = self.trims.entry(service).or_insert_with(SupplyTrim::start);
+        trim.observe(view.in_hand / view.slots.max(1.0));
+        ServiceSupply {
+            capacity: view.slots * PLANNED_USE * trim.factor(),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct ServiceView {
+    slots: f64,
+    in_hand: f64,
+}
+
+/// The sum of all reports.
+#[derive(Debug, Default)]
+struct FleetView {
+    services: HashMap<u32, ServiceView>,
+    offered: HashMap<ClassKey, f64>,
+    admitted: HashMap<u32, f64>,
+    busy: HashMap<(u32, u32), f64>,
+}
+
+impl FleetView {
+    fn add(
+        &mut self,
+        endpoint: Option<&EndpointReport>,
+        classes: &[ClassRate],
+        usage: &[RouteUsage],
+    ) {
+        for rate in classes {
+            let offered = f64::from(rate.offered) / CLASS_SECONDS;
+            *self.offered.entry(rate.class).or_default() += offered;
+            let admitted = f64::from(rate.admitted) / CLASS_SECONDS;
+            *self.admitted.entry(rate.class.route).or_default() += admitted;
+        }
+        let Some(endpoint) = endpoint else {
+            return;
+        };
+        let service = hash_name(&endpoint.service);
+        let view = self.services.entry(service).or_default();
+        view.slots += f64::from(endpoint.slots);
+        view.in_hand += f64::from(endpoint.in_hand);
+        for used in usage {
+            let busy = f64::from(used.busy_ms) / 1000.0;
+            *self.busy.entry((used.route, service)).or_default() += busy;
+        }
+    }
+}
+
+fn smooth(rate: &mut f64, seen: f64) {
+    *rate += RATE_WEIGHT * (seen - *rate);
+}
--- /dev/null
+++ b/src/mesh/entry/place.rs
@@ -0,0 +1,170 @@
+//! Where an admitted request goes, and where it goes next when that fails.
+
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use smallvec::SmallVec;
+
+use super::super::executor::CallOutcome;
+use super::super::executor::CallRequest;
+use super::super::executor::EndpointAnswer;
+use super::super::fleet::Peer;
+use super::super::fleet::PeerReply;
+use super::super::link::RefusalCause;
+use super::super::state::MeshState;
+use crate::codes::ResultCode;
+use crate::decisions::placement::pick_executor;
+use crate::decisions::placement::ExecutorLoad;
+use crate::observe::LogEvent;
+
+/// Executors asked for one request; each that refuses costs a round trip.
+const MOST_EXECUTORS: usize = 3;
+
+/// The end of a request.
+#[derive(Debug)]
+pub enum PlacedOutcome {
+    Answered(EndpointAnswer),
+    Failed(ResultCode),
+}
+
+enum ExecutorPlace {
+    Own,
+    Other(Rc<Peer>),
+}
+
+/// Sends a request to executors until one answers or none may be asked any more.
+pub async fn place(
+    state: &MeshState,
+    request: &mut CallRequest,
+    max_attempts: u32,
+    id: &str,
+) -> PlacedOutcome {
+    let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
+    let mut arrivals = 0;
+    let mut code = ResultCode::NoEndpoint;
+    while tried.len() < MOST_EXECUTORS {
+        let Some((address, target)) = choose(state, &request.service, &tried) else {
+            return PlacedOutcome::Failed(code);
+        };
+        if tried.is_empty() {
+            count_first(state, request);
+        }
+        tried.push(address);
+        let reply = match target {
+            ExecutorPlace::Own => run_here(state, request).await,
+            ExecutorPlace::Other(peer) => peer.submit(state.next_call(), request).await,
+        };
+        let may_have_run = match reply {
+            PeerReply::Outcome(CallOutcome::Answered(answer)) => {
+                return PlacedOutcome::Answered(answer)
+            }
+            PeerReply::Outcome(CallOutcome::Refused(cause)) => {
+                code = refusal_code(cause);
+                if !cause.reached_endpoint() {
+                    continue;
+                }
+                false
+            }
+            PeerReply::Outcome(CallOutcome::Unknown) | PeerReply::LinkLost => {
+                code = ResultCode::ConnectionLost;
+                true
+            }
+        };
+        arrivals += 1;
+        let again = (request.idempotent || !may_have_run)
+            && arrivals < max_attempts
+            && spend_repeat(state, &request.service);
+        if !again {
+            return PlacedOutcome::Failed(code);
+        }
+        request.origin.repeat |= may_have_run;
+        let event = LogEvent::CallRetried.number();
+        tracing::warn!(
+            event,
+            id,
+            ?code,
+            arrivals,
+            "the request goes to another endpoint"
+        );
+    }
+    PlacedOutcome::Failed(code)
+}
+
+/// Calls of a run that was itself a repeat count as repeats, whatever the budget says.
+fn count_first(state: &MeshState, request: &CallRequest) {
+    let rule = &state.settings.repeat_rule;
+    let now = state.now();
+    let mut gate = state.gate.borrow_mut();
+    let budget = gate.repeats(&request.service);
+    budget.first(rule, now);
+    if request.origin.nested && request.origin.repeat {
+        budget.charge(rule, now);
+    }
+}
+
+fn spend_repeat(state: &MeshState, service: &str) -> bool {
+    let rule = state.settings.repeat_rule;
+    let daemons = state.daemons();
+    let mut gate = state.gate.borrow_mut();
+    gate.spend_repeat(service, &rule, daemons, state.now())
+}
+
+async fn run_here(state: &MeshState, request: &CallRequest) -> PeerReply {
+    let handed = Cell::new(false);
+    PeerReply::Outcome(state.executor.run(request, &handed).await)
+}
+
+fn refusal_code(cause: RefusalCause) -> ResultCode {
+    match cause {
+        RefusalCause::EndpointGone | RefusalCause::EndpointReplaced => ResultCode::NoEndpoint,
+        RefusalCause::QueueFull => ResultCode::Overloaded,
+        RefusalCause::Expired => ResultCode::DeadlineTooShort,
+        RefusalCause::Stopping => ResultCode::Stopping,
+        RefusalCause::EndpointShed => ResultCode::EndpointShed,
+    }
+}
+
+fn choose(
+    state: &MeshState,
+    service: &str,
+    tried: &[SocketAddrV4],
+) -> Option<(SocketAddrV4, ExecutorPlace)> {
+    let own_address = state.settings.link_address;
+    let own = state
+        .endpoint_report()
+        .filter(|one| one.service == service && !state.is_stopping())
+        .filter(|_| !tried.contains(&own_address));
+    state.with_executors(service, |peers| {
+        let mut loads: SmallVec<[ExecutorLoad; 16]> = SmallVec::new();
+        let mut places: SmallVec<[Option<&Rc<Peer>>; 16]> = SmallVec::new();
+        for peer in peers.iter().filter(|one| !tried.contains(&one.address)) {
+            let load = peer.with_report(|report| {
+                report.endpoint.as_ref().map(|endpoint| ExecutorLoad {
+                    in_hand: peer.load(),
+                    slots: endpoint.slots,
+                    cold: endpoint.cold,
+                    same_domain: endpoint.failure_domain == state.settings.failure_domain,
+                })
+            });
+            if let Some(Some(load)) = load {
+                loads.push(load);
+                places.push(Some(peer));
+            }
+        }
+        if let Some(endpoint) = own {
+            loads.push(ExecutorLoad {
+                in_hand: endpoint.in_hand,
+                slots: endpoint.slots,
+                cold: endpoint.cold,
+                same_domain: true,
+            });
+            places.push(None);
+        }
+        let index = pick_executor(&loads, &mut *state.rng.borrow_mut())?;
+        Some(match places[index] {
+            Some(peer) => (peer.address, ExecutorPlace::Other(peer.clone())),
+            None => (own_address, ExecutorPlace::Own),
+        })
+    })
+}
--- /dev/null
+++ b/src/mesh/entry/serve.rs
@@ -0,0 +1,251 @@
+//! Serving callers: one request at a time on a connection, from its head to its answer.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+use super::super::executor::CallRequest;
+use super::super::state::MeshState;
+use super::admit::admit;
+use super::admit::AdmittedRequest;
+use super::admit::RefusedRequest;
+use super::head;
+use super::place::place;
+use super::place::PlacedOutcome;
+use crate::codes::ResultCode;
+use crate::observe::LogEvent;
+
+/// Wait past the deadline for an outcome that is on its way.
+const OUTCOME_GRACE: Duration = Duration::from_millis(150);
+/// Kept beyond the idle time that callers are promised, for requests on their way.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Idle time before a configuration says one.
+const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+/// hyper needs at least this much for its read buffer.
+const MIN_HEADER_BYTES: usize = 8192;
+const DEFAULT_HEADER_BYTES: usize = 64 * 1024;
+
+type CallerAnswer = Response<Full<Bytes>>;
+
+/// Accepts callers until `stopped` says that the daemon closes.
+pub async fn serve_callers(
+    state: Rc<MeshState>,
+    listener: TcpListener,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let task = serve_caller(state.clone(), stream, stopped.clone());
+                tokio::task::spawn_local(task);
+            }
+            Err(error) => {
+                let event = LogEvent::CallerBroken.number();
+                tracing::warn!(event, %error, "a caller can't be accepted");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(
+    state: Rc<MeshState>,
+    stream: TcpStream,
+    mut stopped: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::warn!(%error, "options of a caller's connection can't be set");
+    }
+    let limits = state.routes().map(|routes| routes.config().limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |one| one.idle_timeout);
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |one| one.header_bytes);
+    let owner = state.clone();
+    let service = service_fn(move |request| answer(owner.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_MARGIN)
+        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        _ = stopped.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        let event = LogEvent::CallerBroken.number();
+        tracing::debug!(event, %error, "a caller's connection broke");
+    }
+}
+
+/// Counts a request as open until it is answered or its caller has gone.
+struct OpenGuard<'a> {
+    state: &'a MeshState,
+}
+
+impl Drop for OpenGuard<'_> {
+    fn drop(&mut self) {
+        self.state.open_request(-1);
+    }
+}
+
+async fn answer(
+    state: Rc<MeshState>,
+    request: Request<Incoming>,
+) -> Result<CallerAnswer, Infallible> {
+    state.open_request(1);
+    let _guard = OpenGuard { state: &state };
+    let attempt = request.headers().get(&state.dialect.attempt).cloned();
+    let mut response = handle(&state, request).await;
+    if let Some(value) = attempt {
+        response.headers_mut().insert(&state.dialect.attempt, value);
+    }
+    Ok(response)
+}
+
+async fn handle(state: &MeshState, request: Request<Incoming>) -> CallerAnswer {
+    let arrived = Instant::now();
+    let (mut parts, body) = request.into_parts();
+    let Some(routes) = state.routes() else {
+        return own_answer(ResultCode::CutOff, Some(Duration::from_millis(500)));
+    };
+    let decision = admit(state, &routes, parts.uri.path(), &parts.headers, arrived);
+    let admitted = match decision {
+        Ok(admitted) => admitted,
+        Err(refused) => return refuse(state, &parts.headers, &refused),
+    };
+    let limit = routes.config().limits.body_bytes;
+    drop(routes);
+    let body = match timeout_at(admitted.deadline, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return own_answer(ResultCode::BodyTooLarge, None);
+        }
+        Ok(Err(_)) | Err(_) => return own_answer(ResultCode::BodyTimeout, None),
+    };
+    let organisation = admitted.organisation.as_deref();
+    let service = &state.settings.service;
+    head::clean_request(&state.dialect, &mut parts.headers, organisation, service);
+    let target = parts.uri.path_and_query().cloned().map(Uri::from);
+    let mut call = CallRequest {
+        method: parts.method,
+        target: target.unwrap_or(parts.uri),
+        headers: parts.headers,
+        body,
+        service: admitted.service.clone(),
+        idempotent: admitted.idempotent,
+        origin: admitted.origin,
+        deadline: admitted.deadline,
+        patience: admitted.patience,
+    };
+    finish(state, &mut call, &admitted, arrived).await
+}
+
+async fn finish(
+    state: &MeshState,
+    call: &mut CallRequest,
+    admitted: &AdmittedRequest,
+    arrived: Instant,
+) -> CallerAnswer {
+    let id = head::attempt_id(&state.dialect, &call.headers).to_owned();
+    let until = admitted.deadline + OUTCOME_GRACE;
+    let placed = timeout_at(until, place(state, call, admitted.max_attempts, &id)).await;
+    let outcome = placed.unwrap_or(PlacedOutcome::Failed(ResultCode::DeadlinePassed));
+    let took_ms = arrived.elapsed().as_millis() as u64;
+    match outcome {
+        PlacedOutcome::Answered(answer) => {
+            let event = LogEvent::CallPlaced.number();
+            let status = answer.status.as_u16();
+            let service = &*admitted.service;
+            tracing::info!(
+                event,
+                id,
+                service,
+                status,
+                took_ms,
+                nested = admitted.origin.nested,
+                "answered"
+            );
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            head::clean_answer(response.headers_mut());
+            response
+        }
+        PlacedOutcome::Failed(code) => {
+            let left = admitted.deadline.saturating_duration_since(Instant::now());
+            let latest = (admitted.latency_target / 2).min(left / 3);
+            let part = state.rng.borrow_mut().random_range(0.4..1.0);
+            let event = LogEvent::CallRefused.number();
+            tracing::warn!(event, id, service = &*admitted.service, ?code, took_ms, nested = admitted.origin.nested, config = state.config_version(), "failed");
+            own_answer(code, Some(latest.mul_f64(part)))
+        }
+    }
+}
+
+fn refuse(state: &MeshState, headers: &HeaderMap, refused: &RefusedRequest) -> CallerAnswer {
+    let event = LogEvent::CallRefused.number();
+    let id = head::attempt_id(&state.dialect, headers);
+    let config = state.config_version();
+    let proof_ms = state.proof_age().map(|age| age.as_millis() as u64);
+    let RefusedRequest {
+        code,
+        share,
+        route,
+        organisation,
+        ..
+    } = refused;
+    tracing::warn!(
+        event,
+        id,
+        ?code,
+        route,
+        organisation,
+        share,
+        config,
+        proof_ms,
+        "refused"
+    );
+    own_answer(refused.code, refused.retry_after)
+}
+
+/// An answer of the daemon's own; only one that says "not run" may name a time to come back.
+fn own_answer(code: ResultCode, retry_after: Option<Duration>) -> CallerAnswer {
+    let mut response = code.response();
+    let status = response.status().as_u16();
+    if let Some(after) = retry_after.filter(|_| status == 503 || status == 429) {
+        let text = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/mesh/executor/endpoint.rs
@@ -0,0 +1,367 @@
+//! Running a call at the endpoint beside this daemon.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+use super::super::dialect::HeaderDialect;
+use super::super::link::CallOrigin;
+use super::super::link::RefusalCause;
+use super::judge::judge_answer;
+use super::judge::AnswerVerdict;
+use super::parents::ParentTable;
+use super::pool::connect;
+use super::pool::ConnectionPool;
+use super::pool::EndpointConnection;
+use super::slots::SlotQueue;
+use crate::decisions::announcement::BeliefChange;
+use crate::decisions::announcement::EndpointBeat;
+use crate::decisions::announcement::EndpointBelief;
+use crate::observe::LogEvent;
+
+/// A call with less time than this is not handed over: no endpoint answers faster.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Time past the deadline in which an endpoint's own late answer is still awaited.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+/// A call for the endpoint.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    pub method: Method,
+    pub target: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub service: Rc<str>,
+    pub idempotent: bool,
+    pub origin: CallOrigin,
+    pub deadline: Instant,
+    /// Longest time that the call may wait for a slot.
+    pub patience: Duration,
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug, Clone)]
+pub struct EndpointAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone)]
+pub enum CallOutcome {
+    Answered(EndpointAnswer),
+    /// It has not run and never will.
+    Refused(RefusalCause),
+    /// The endpoint got it, or may have got it, and no whole answer came.
+    Unknown,
+}
+
+/// The endpoint beside this daemon.
+#[derive(Debug)]
+pub struct EndpointExecutor {
+    dialect: HeaderDialect,
+    announce_interval: Duration,
+    started: Instant,
+    belief: RefCell<EndpointBelief>,
+    slots: Rc<SlotQueue>,
+    pool: ConnectionPool,
+    parents: RefCell<ParentTable>,
+    usage: RefCell<HashMap<u32, f64>>,
+    stopping: Cell<bool>,
+}
+
+impl EndpointExecutor {
+    /// Starts with no endpoint known.
+    pub fn start(dialect: HeaderDialect, announce_interval: Duration) -> Self {
+        Self {
+            dialect,
+            announce_interval,
+            started: Instant::now(),
+            belief: RefCell::new(EndpointBelief::default()),
+            slots: SlotQueue::start(),
+            pool: ConnectionPool::default(),
+            parents: RefCell::new(ParentTable::default()),
+            usage: RefCell::new(HashMap::new()),
+            stopping: Cell::new(false),
+        }
+    }
+
+    /// Takes an announcement of the endpoint.
+    pub fn hear(&self, beat: EndpointBeat) -> BeliefChange {
+        let slots = beat.slots;
+        let change = self.belief.borrow_mut().hear(beat, self.now());
+        match change {
+            BeliefChange::Started | BeliefChange::Returned => {
+                self.pool.clear();
+                self.slots.set_limit(slots);
+            }
+            BeliefChange::Draining => self.slots.turn_away(),
+            BeliefChange::Nothing | BeliefChange::Stale => {}
+        }
+        change
+    }
+
+    /// Takes a farewell; returns whether it is that of the endpoint that is believed to be there.
+    pub fn leave(&self, id: &str) -> bool {
+        let left = self.belief.borrow_mut().leave(id);
+        if left {
+            self.slots.turn_away();
+        }
+        left
+    }
+
+    /// Takes no new calls from now on; those that run go on.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.slots.turn_away();
+    }
+
+    /// The announcement of an endpoint that may get new calls, with the time it stays slow.
+    pub fn usable(&self) -> Option<(EndpointBeat, Duration)> {
+        let belief = self.belief.borrow();
+        let beat = belief.usable(self.announce_interval, self.now())?;
+        Some((beat.clone(), belief.cold_left(self.now())))
+    }
+
+    /// Calls that run or wait here.
+    pub fn in_hand(&self) -> u32 {
+        self.slots.in_hand()
+    }
+
+    /// Calls that run at the endpoint.
+    pub fn running(&self) -> u32 {
+        self.slots.running()
+    }
+
+    /// The request that a call of the endpoint with this deadline belongs to.
+    pub fn find_parent(&self, deadline: Instant) -> Option<CallOrigin> {
+        self.parents.borrow().find(deadline)
+    }
+
+    /// Slot-seconds used by trees of each route since the last call.
+    pub fn take_usage(&self) -> HashMap<u32, f64> {
+        std::mem::take(&mut *self.usage.borrow_mut())
+    }
+
+    /// Runs a call; `handed` is set before its first byte can reach the endpoint.
+    pub async fn run(&self, call: &CallRequest, handed: &Cell<bool>) -> CallOutcome {
+        if self.stopping.get() {
+            return CallOutcome::Refused(RefusalCause::Stopping);
+        }
+        if self.identity(&call.service).is_none() {
+            return CallOutcome::Refused(RefusalCause::EndpointGone);
+        }
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let patience = call.patience.min(left);
+        let enters = !call.origin.nested;
+        let waited = self.slots.acquire(enters, call.origin.class.rank, patience);
+        let Some(permit) = waited.await else {
+            return CallOutcome::Refused(self.refusal(&call.service));
+        };
+        let begun = Instant::now();
+        let outcome = self.hand_over(call, handed).await;
+        let held = begun.elapsed();
+        drop(permit);
+        if handed.get() {
+            self.slots.note_run(held);
+            let mut usage = self.usage.borrow_mut();
+            *usage.entry(call.origin.class.route).or_default() += held.as_secs_f64();
+        }
+        outcome
+    }
+
+    async fn hand_over(&self, call: &CallRequest, handed: &Cell<bool>) -> CallOutcome {
+        // A connection that closed before it took a byte is replaced by a new one, once.
+        for fresh in [false, true] {
+            let Some(beat) = self.identity(&call.service) else {
+                return CallOutcome::Refused(self.refusal(&call.service));
+            };
+            if call.deadline < Instant::now() + LEAST_TIME {
+                return CallOutcome::Refused(RefusalCause::Expired);
+            }
+            let connection = match self.connection(&beat, fresh).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    self.lose_endpoint(&beat, &error.to_string());
+                    return CallOutcome::Refused(RefusalCause::EndpointGone);
+                }
+            };
+            if let Some(outcome) = self.exchange(call, &beat, connection, handed).await {
+                return outcome;
+            }
+        }
+        CallOutcome::Refused(RefusalCause::EndpointGone)
+    }
+
+    /// Sends the call on one connection; none if the connection took no byte of it.
+    async fn exchange(
+        &self,
+        call: &CallRequest,
+        beat: &EndpointBeat,
+        mut connection: EndpointConnection,
+        handed: &Cell<bool>,
+    ) -> Option<CallOutcome> {
+        let request = self.request(call, &beat.id);
+        let until = call.deadline + ANSWER_GRACE;
+        handed.set(true);
+        let parent = self.parents.borrow_mut().add(call.deadline, call.origin);
+        let _guard = ParentGuard {
+            parents: &self.parents,
+            key: parent,
+        };
+        let sent = connection.sender.try_send_request(request);
+        let response = match timeout_at(until, sent).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(mut error)) => {
+                if error.take_message().is_some() {
+                    handed.set(false);
+                    return None;
+                }
+                self.log_unknown(call, &error.into_error().to_string());
+                return Some(CallOutcome::Unknown);
+            }
+            Err(_) => {
+                self.log_unknown(call, "no answer by the deadline");
+                return Some(CallOutcome::Unknown);
+            }
+        };
+        Some(self.take_answer(call, connection, response, until).await)
+    }
+
+    async fn take_answer(
+        &self,
+        call: &CallRequest,
+        connection: EndpointConnection,
+        response: Response<hyper::body::Incoming>,
+        until: Instant,
+    ) -> CallOutcome {
+        let (head, body) = response.into_parts();
+        let attempt = call.headers.get(&self.dialect.attempt);
+        let attempt = attempt.map(|value| value.as_bytes());
+        let verdict = judge_answer(&self.dialect, attempt, head.status, &head.headers);
+        if verdict == AnswerVerdict::Foreign {
+            self.log_unknown(call, "the answer is not the one to this call");
+            return CallOutcome::Unknown;
+        }
+        let body = match timeout_at(until, body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => {
+                self.log_unknown(call, &error.to_string());
+                return refused_or_unknown(verdict);
+            }
+            Err(_) => {
+                self.log_unknown(call, "the answer broke off at the deadline");
+                return refused_or_unknown(verdict);
+            }
+        };
+        self.pool.put_back(connection, &head.headers);
+        match verdict {
+            AnswerVerdict::Refused(cause) => CallOutcome::Refused(cause),
+            _ => CallOutcome::Answered(EndpointAnswer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            }),
+        }
+    }
+
+    fn request(&self, call: &CallRequest, endpoint: &str) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.target.clone();
+        let mut headers = call.headers.clone();
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let milliseconds = left.as_millis() as u64;
+        headers.insert(&self.dialect.deadline, HeaderValue::from(milliseconds));
+        match HeaderValue::from_str(endpoint) {
+            Ok(value) => {
+                headers.insert(&self.dialect.expected_endpoint, value);
+            }
+            Err(error) => tracing::error!(endpoint, %error, "an endpoint's id is no header value"),
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn connection(
+        &self,
+        beat: &EndpointBeat,
+        fresh: bool,
+    ) -> std::io::Result<EndpointConnection> {
+        if !fresh {
+            if let Some(connection) = self.pool.take().await {
+                return Ok(connection);
+            }
+        }
+        connect(beat.address).await
+    }
+
+    fn identity(&self, service: &str) -> Option<EndpointBeat> {
+        let belief = self.belief.borrow();
+        let beat = belief.usable(self.announce_interval, self.now())?;
+        (beat.service == service).then(|| beat.clone())
+    }
+
+    fn refusal(&self, service: &str) -> RefusalCause {
+        if self.stopping.get() {
+            RefusalCause::Stopping
+        } else if self.identity(service).is_none() {
+            RefusalCause::EndpointGone
+        } else {
+            RefusalCause::QueueFull
+        }
+    }
+
+    fn lose_endpoint(&self, beat: &EndpointBeat, error: &str) {
+        self.belief.borrow_mut().mark_unreachable();
+        self.slots.turn_away();
+        let event = LogEvent::EndpointSilent.number();
+        tracing::warn!(event, endpoint = beat.id, address = %beat.address, error, "endpoint unreachable");
+    }
+
+    fn log_unknown(&self, call: &CallRequest, error: &str) {
+        let id = call.headers.get(&self.dialect.attempt);
+        let id = id.and_then(|value| value.to_str().ok()).unwrap_or("");
+        let event = LogEvent::CallUnknown.number();
+        tracing::warn!(event, id, error, "the endpoint gave no whole answer");
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+/// A refusal holds although its body was cut; an answer without its whole body doesn't.
+fn refused_or_unknown(verdict: AnswerVerdict) -> CallOutcome {
+    match verdict {
+        AnswerVerdict::Refused(cause) => CallOutcome::Refused(cause),
+        _ => CallOutcome::Unknown,
+    }
+}
+
+struct ParentGuard<'a> {
+    parents: &'a RefCell<ParentTable>,
+    key: (Instant, u64),
+}
+
+impl Drop for ParentGuard<'_> {
+    fn drop(&mut self) {
+        self.parents.borrow_mut().remove(self.key);
+    }
+}
--- /dev/null
+++ b/src/mesh/executor/judge.rs
@@ -0,0 +1,50 @@
+//! What an endpoint's answer says, and whether it is the answer to this call at all.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+
+use super::super::dialect::HeaderDialect;
+use super::super::link::RefusalCause;
+
+/// What becomes of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// It goes to the caller as it is.
+    Whole,
+    /// The endpoint has not run the call.
+    Refused(RefusalCause),
+    /// It belongs to another call or isn't the endpoint's; the call may have run.
+    Foreign,
+}
+
+/// Judges the head of an answer to the attempt `attempt`.
+pub fn judge_answer(
+    dialect: &HeaderDialect,
+    attempt: Option<&[u8]>,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> AnswerVerdict {
+    let echoed = headers.get(&dialect.attempt).map(|value| value.as_bytes());
+    let refused = headers.contains_key(&dialect.not_executed);
+    // A refusal without an identity comes on a connection that carried this call alone.
+    if echoed.is_some() && echoed != attempt || (echoed.is_none() && !refused) {
+        let replaced = echoed.is_none() && status == StatusCode::MISDIRECTED_REQUEST;
+        return if replaced {
+            AnswerVerdict::Refused(RefusalCause::EndpointReplaced)
+        } else {
+            AnswerVerdict::Foreign
+        };
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return AnswerVerdict::Refused(RefusalCause::EndpointReplaced);
+    }
+    if refused {
+        return AnswerVerdict::Refused(RefusalCause::EndpointShed);
+    }
+    let encoded = headers.contains_key(hyper::header::CONTENT_ENCODING);
+    let unsealed = status.is_success() && !headers.contains_key(&dialect.answer_seal);
+    if encoded || unsealed {
+        return AnswerVerdict::Foreign;
+    }
+    AnswerVerdict::Whole
+}
--- /dev/null
+++ b/src/mesh/executor/mod.rs
@@ -0,0 +1,23 @@
+//! The daemon beside an endpoint: it alone hands calls to the endpoint and knows whether it did.
+
+mod calls;
+mod endpoint;
+mod judge;
+mod parents;
+mod pool;
+mod serve;
+mod slots;
+
+pub use calls::CallState;
+pub use calls::CallTable;
+pub use endpoint::CallOutcome;
+pub use endpoint::CallRequest;
+pub use endpoint::EndpointAnswer;
+pub use endpoint::EndpointExecutor;
+pub use judge::judge_answer;
+pub use judge::AnswerVerdict;
+pub use parents::ParentTable;
+pub use serve::accept_links;
+pub use serve::read_hello;
+pub use slots::SlotPermit;
+pub use slots::SlotQueue;
--- /dev/null
+++ b/src/mesh/executor/pool.rs
@@ -0,0 +1,113 @@
+//! Connections to the endpoint; each carries one call at a time.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::HeaderMap;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use super::super::link::tune_stream;
+
+/// An endpoint on the same VM that doesn't accept within this time is not there.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Idle time after which a connection isn't used again, if the endpoint names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Part of the idle time an endpoint names that is used; it counts from its own moment.
+const IDLE_PART: f64 = 0.6;
+
+/// A connection to the endpoint; dropping it closes it, which tells the endpoint to stop.
+#[derive(Debug)]
+pub struct EndpointConnection {
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a call before.
+    pub used: bool,
+    driver: AbortHandle,
+    idle_since: Instant,
+    idle_limit: Duration,
+}
+
+impl Drop for EndpointConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// The idle connections to one incarnation of the endpoint.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: RefCell<Vec<EndpointConnection>>,
+}
+
+impl ConnectionPool {
+    /// Takes the connection that was used last, since it is the least likely to have been closed.
+    pub async fn take(&self) -> Option<EndpointConnection> {
+        loop {
+            let mut connection = self.idle.borrow_mut().pop()?;
+            let fresh = connection.idle_since.elapsed() < connection.idle_limit;
+            if fresh && !connection.sender.is_closed() && connection.sender.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was whole, unless the endpoint closes it.
+    pub fn put_back(&self, mut connection: EndpointConnection, headers: &HeaderMap) {
+        let closes = headers
+            .get(hyper::header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        if closes || connection.sender.is_closed() {
+            return;
+        }
+        connection.used = true;
+        connection.idle_since = Instant::now();
+        if let Some(limit) = named_idle(headers) {
+            connection.idle_limit = limit.mul_f64(IDLE_PART);
+        }
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|one| one.idle_since.elapsed() < one.idle_limit);
+        idle.push(connection);
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// The idle time in a Keep-Alive header.
+fn named_idle(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// Opens a connection to the endpoint.
+pub async fn connect(address: SocketAddrV4) -> std::io::Result<EndpointConnection> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    tune_stream(&stream)?;
+    let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        // The call on the connection sees the same end as an error of its own.
+        drop(driver.await);
+    });
+    Ok(EndpointConnection {
+        sender,
+        used: false,
+        driver: task.abort_handle(),
+        idle_since: Instant::now(),
+        idle_limit: DEFAULT_IDLE,
+    })
+}
--- /dev/null
+++ b/src/mesh/executor/serve.rs
@@ -0,0 +1,230 @@
+//! Serving the links that other daemons open.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use hyper::body::Bytes;
+use hyper::Method;
+use hyper::Uri;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use super::super::link::decode_frame;
+use super::super::link::encode_frame;
+use super::super::link::header_map;
+use super::super::link::header_pairs;
+use super::super::link::open_link;
+use super::super::link::tune_stream;
+use super::super::link::AnswerHead;
+use super::super::link::LinkFrame;
+use super::super::link::LinkHello;
+use super::super::link::LinkReader;
+use super::super::link::LinkSender;
+use super::super::link::RefusalCause;
+use super::super::link::SubmitHead;
+use super::super::state::MeshState;
+use super::calls::CallId;
+use super::calls::CallState;
+use super::endpoint::CallOutcome;
+use super::endpoint::CallRequest;
+
+/// A peer pings more often than this; a link that is silent for longer is gone.
+const SILENT_AFTER: Duration = Duration::from_secs(4);
+
+/// Accepts links until the task is dropped.
+pub async fn accept_links(state: Rc<MeshState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let state = state.clone();
+                tokio::task::spawn_local(async move {
+                    serve_link(state, stream).await;
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a link can't be accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(state: Rc<MeshState>, stream: TcpStream) {
+    if let Err(error) = tune_stream(&stream) {
+        tracing::warn!(%error, "options of a link can't be set");
+    }
+    let (mut reader, sender) = open_link(stream);
+    let Some(hello) = read_hello(&mut reader).await else {
+        return;
+    };
+    sender.send(&LinkFrame::Hello(state.hello()), &[]);
+    state.meet(hello.address);
+    for address in &hello.known {
+        state.meet(*address);
+    }
+    state.add_listener(sender.clone());
+    while let Ok(Some(Ok(bytes))) = timeout(SILENT_AFTER, reader.next()).await {
+        let bytes = bytes.freeze();
+        if let Err(error) = take_frame(&state, hello.incarnation, &sender, &bytes) {
+            tracing::warn!(peer = %hello.address, %error, "a frame can't be read");
+            break;
+        }
+    }
+    let now = Instant::now();
+    let mut calls = state.calls.borrow_mut();
+    calls.drop_link(hello.incarnation, &sender, now);
+}
+
+/// Reads the first frame of a link, which says who is there.
+pub async fn read_hello(reader: &mut LinkReader) -> Option<LinkHello> {
+    let bytes = timeout(SILENT_AFTER, reader.next()).await.ok()??.ok()?;
+    match decode_frame(&bytes.freeze()) {
+        Ok((LinkFrame::Hello(hello), _)) => Some(hello),
+        _ => None,
+    }
+}
+
+fn take_frame(
+    state: &Rc<MeshState>,
+    incarnation: u64,
+    sender: &LinkSender,
+    bytes: &Bytes,
+) -> Result<(), postcard::Error> {
+    let (frame, body_at) = decode_frame(bytes)?;
+    match frame {
+        LinkFrame::Ping { sequence } => {
+            let report = state.report();
+            sender.send(&LinkFrame::Report { sequence, report }, &[]);
+        }
+        LinkFrame::Submit(head) => {
+            let body = bytes.slice(body_at..);
+            begin_call(state, (incarnation, head.call), sender, &head, body);
+        }
+        LinkFrame::Cancel { call } => {
+            let mut calls = state.calls.borrow_mut();
+            calls.cancel((incarnation, call), Instant::now());
+        }
+        LinkFrame::Resume { call } => resume_call(state, (incarnation, call), sender),
+        LinkFrame::WantConfig => {
+            let (version, raw) = state.raw_config();
+            sender.send(&LinkFrame::Config { version }, &raw);
+        }
+        _ => tracing::warn!(incarnation, "a frame that only a serving daemon sends"),
+    }
+    Ok(())
+}
+
+fn begin_call(
+    state: &Rc<MeshState>,
+    id: CallId,
+    sender: &LinkSender,
+    head: &SubmitHead<'_>,
+    body: Bytes,
+) {
+    let parsed = Method::from_bytes(head.method.as_bytes())
+        .ok()
+        .zip(Uri::try_from(head.target).ok());
+    let Some((method, target)) = parsed else {
+        tracing::error!(
+            target = head.target,
+            "a call's method or target can't be read"
+        );
+        let cause = RefusalCause::EndpointGone;
+        refuse(state, id.1, sender, cause);
+        return;
+    };
+    let handed = Rc::new(Cell::new(false));
+    let running = CallState::Running {
+        handed: handed.clone(),
+        idempotent: head.idempotent,
+        task: None,
+        reply_to: sender.clone(),
+    };
+    if !state.calls.borrow_mut().begin(id, running) {
+        return;
+    }
+    let request = CallRequest {
+        method,
+        target,
+        headers: header_map(&head.headers),
+        body,
+        service: Rc::from(head.service),
+        idempotent: head.idempotent,
+        origin: head.origin,
+        deadline: Instant::now() + Duration::from_millis(u64::from(head.remaining_ms)),
+        patience: Duration::from_millis(u64::from(head.patience_ms)),
+    };
+    let owner = state.clone();
+    let task = tokio::task::spawn_local(async move {
+        let outcome = owner.executor.run(&request, &handed).await;
+        finish_call(&owner, id, &outcome);
+    });
+    state.calls.borrow_mut().set_task(id, task.abort_handle());
+}
+
+fn finish_call(state: &MeshState, id: CallId, outcome: &CallOutcome) {
+    let call = id.1;
+    let in_hand = state.executor.in_hand();
+    let frame = match outcome {
+        CallOutcome::Answered(answer) => {
+            let head = AnswerHead {
+                call,
+                status: answer.status.as_u16(),
+                headers: header_pairs(&answer.headers),
+                in_hand,
+            };
+            encode_frame(&LinkFrame::Answer(head), &answer.body)
+        }
+        CallOutcome::Refused(cause) => {
+            let cause = *cause;
+            encode_frame(
+                &LinkFrame::Refused {
+                    call,
+                    cause,
+                    in_hand,
+                },
+                &[],
+            )
+        }
+        CallOutcome::Unknown => encode_frame(&LinkFrame::Unknown { call, in_hand }, &[]),
+    };
+    match frame {
+        Ok(bytes) => {
+            let mut calls = state.calls.borrow_mut();
+            if let Some(link) = calls.end(id, bytes.clone(), Instant::now()) {
+                link.send_encoded(bytes);
+            }
+        }
+        Err(error) => tracing::error!(%error, call, "an outcome can't be encoded"),
+    }
+}
+
+fn resume_call(state: &MeshState, id: CallId, sender: &LinkSender) {
+    let mut calls = state.calls.borrow_mut();
+    let ended = match calls.resume(id, sender, Instant::now()) {
+        CallState::Running { .. } => return,
+        CallState::Ended(bytes) => Some(bytes.clone()),
+        CallState::Barred => None,
+    };
+    drop(calls);
+    match ended {
+        Some(bytes) => sender.send_encoded(bytes),
+        None => refuse(state, id.1, sender, RefusalCause::EndpointGone),
+    }
+}
+
+fn refuse(state: &MeshState, call: u64, sender: &LinkSender, cause: RefusalCause) {
+    let in_hand = state.executor.in_hand();
+    sender.send(
+        &LinkFrame::Refused {
+            call,
+            cause,
+            in_hand,
+        },
+        &[],
+    );
+}
--- /dev/null
+++ b/src/mesh/fleet/mod.rs
@@ -0,0 +1,21 @@
+//! What a daemon knows of its fleet: the configuration in force and the other daemons.
+
+mod config;
+mod peer;
+mod report;
+mod route_table;
+
+pub use config::CallerLimits;
+pub use config::MeshConfig;
+pub use config::OrganisationRule;
+pub use config::RoutePart;
+pub use config::RouteRule;
+pub use peer::Peer;
+pub use peer::PeerReply;
+pub use report::ClassRate;
+pub use report::DaemonReport;
+pub use report::EndpointReport;
+pub use report::OrganisationDemand;
+pub use report::RouteUsage;
+pub use route_table::hash_name;
+pub use route_table::RouteTable;
--- /dev/null
+++ b/src/mesh/fleet/route_table.rs
@@ -0,0 +1,96 @@
+//! The configuration in force, indexed for the request path.
+
+use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use rand::Rng;
+
+use super::config::MeshConfig;
+use super::config::OrganisationRule;
+use super::config::RoutePart;
+use super::config::RouteRule;
+
+/// The same number for the same name in every daemon of one build.
+pub fn hash_name(name: &str) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
+/// One version of the configuration with its indexes.
+#[derive(Debug)]
+pub struct RouteTable {
+    config: MeshConfig,
+    by_host: HashMap<String, HashMap<String, usize>>,
+    by_key: HashMap<String, usize>,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn from_config(config: MeshConfig) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            prefixes.insert(route.path_prefix.clone(), index);
+        }
+        let mut by_key = HashMap::new();
+        for (index, organisation) in config.organisations.iter().enumerate() {
+            for key in &organisation.keys {
+                by_key.insert(key.clone(), index);
+            }
+        }
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// The configuration itself.
+    pub fn config(&self) -> &MeshConfig {
+        &self.config
+    }
+
+    /// The route of this host whose prefix of the path is the longest.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let name = host.split(':').next().unwrap_or(host);
+        let prefixes = match self.by_host.get(name) {
+            Some(prefixes) => prefixes,
+            None => self.by_host.get(&name.to_ascii_lowercase())?,
+        };
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(index) = prefixes.get(&path[..=slash]) {
+                return Some(&self.config.routes[*index]);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// The organisation that holds the key.
+    pub fn find_organisation(&self, key: &str) -> Option<&OrganisationRule> {
+        let index = self.by_key.get(key)?;
+        Some(&self.config.organisations[*index])
+    }
+}
+
+impl RouteRule {
+    /// Draws one of the services by weight.
+    pub fn draw_part(&self, rng: &mut impl Rng) -> Option<&RoutePart> {
+        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
+        if self.parts.len() < 2 || total == 0 {
+            return self.parts.first();
+        }
+        let mut drawn = rng.random_range(0..total);
+        for part in &self.parts {
+            if drawn < part.weight {
+                return Some(part);
+            }
+            drawn -= part.weight;
+        }
+        self.parts.last()
+    }
+}
--- /dev/null
+++ b/src/mesh/link/mod.rs
@@ -0,0 +1,25 @@
+//! Links between daemons: one connection to each peer carries many calls at once.
+//!
+//! A frame is a length, a head in postcard and, for calls and answers, the body as it is. Framing
+//! comes from tokio-util. See `docs/design/platform.md`.
+
+mod frame;
+mod socket;
+mod stream;
+
+pub use frame::decode_frame;
+pub use frame::encode_frame;
+pub use frame::header_map;
+pub use frame::header_pairs;
+pub use frame::AnswerHead;
+pub use frame::CallOrigin;
+pub use frame::HeaderPairs;
+pub use frame::LinkFrame;
+pub use frame::LinkHello;
+pub use frame::RefusalCause;
+pub use frame::SubmitHead;
+pub use socket::listen;
+pub use socket::tune_stream;
+pub use stream::open_link;
+pub use stream::LinkReader;
+pub use stream::LinkSender;
--- /dev/null
+++ b/src/mesh/state.rs
@@ -0,0 +1,297 @@
+//! What all tasks of one daemon share; they run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use tokio::time::Instant;
+
+use super::dialect::HeaderDialect;
+use super::entry::EntryGate;
+use super::executor::CallTable;
+use super::executor::EndpointExecutor;
+use super::fleet::DaemonReport;
+use super::fleet::EndpointReport;
+use super::fleet::MeshConfig;
+use super::fleet::Peer;
+use super::fleet::RouteTable;
+use super::link::LinkFrame;
+use super::link::LinkHello;
+use super::link::LinkSender;
+use super::settings::MeshSettings;
+use crate::clock::boot_now;
+use crate::observe::LogEvent;
+
+/// Reads a configuration as the platform keeps it.
+pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<MeshConfig, String>>;
+
+/// The state of one daemon.
+pub struct MeshState {
+    pub settings: MeshSettings,
+    pub dialect: HeaderDialect,
+    pub executor: EndpointExecutor,
+    pub calls: RefCell<CallTable>,
+    pub gate: RefCell<EntryGate>,
+    pub rng: RefCell<SmallRng>,
+    started: Instant,
+    incarnation: u64,
+    next_call: Cell<u64>,
+    decode_config: ConfigDecoder,
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    raw_config: RefCell<Bytes>,
+    proven: Cell<Option<Duration>>,
+    peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
+    by_service: RefCell<HashMap<String, Vec<Rc<Peer>>>>,
+    listeners: RefCell<Vec<LinkSender>>,
+    stopping: Cell<bool>,
+    open_requests: Cell<u32>,
+}
+
+impl MeshState {
+    /// Starts with no configuration, no endpoint and no peers.
+    pub fn start(
+        settings: MeshSettings,
+        dialect: HeaderDialect,
+        decode_config: ConfigDecoder,
+    ) -> Rc<Self> {
+        let mut rng = SmallRng::from_os_rng();
+        let incarnation = rng.random();
+        let executor = EndpointExecutor::start(dialect.clone(), settings.announce_interval);
+        Rc::new(Self {
+            settings,
+            dialect,
+            executor,
+            calls: RefCell::new(CallTable::default()),
+            gate: RefCell::new(EntryGate::default()),
+            rng: RefCell::new(rng),
+            started: Instant::now(),
+            incarnation,
+            next_call: Cell::new(1),
+            decode_config,
+            routes: RefCell::new(None),
+            raw_config: RefCell::new(Bytes::new()),
+            proven: Cell::new(None),
+            peers: RefCell::new(HashMap::new()),
+            by_service: RefCell::new(HashMap::new()),
+            listeners: RefCell::new(Vec::new()),
+            stopping: Cell::new(false),
+            open_requests: Cell::new(0),
+        })
+    }
+
+    /// Time since the start of the daemon.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// A number for the next call that this daemon sends.
+    pub fn next_call(&self) -> u64 {
+        let call = self.next_call.get();
+        self.next_call.set(call + 1);
+        call
+    }
+
+    /// What a link begins with.
+    pub fn hello(&self) -> LinkHello {
+        LinkHello {
+            incarnation: self.incarnation,
+            address: self.settings.link_address,
+            known: self.peers.borrow().keys().copied().collect(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// The version in force; 0 before there is one.
+    pub fn config_version(&self) -> u64 {
+        let routes = self.routes.borrow();
+        routes.as_ref().map_or(0, |one| one.config().version)
+    }
+
+    /// The configuration in force as the platform keeps it.
+    pub fn raw_config(&self) -> (u64, Bytes) {
+        (self.config_version(), self.raw_config.borrow().clone())
+    }
+
+    /// Puts a configuration in force if it is newer; what can't be read is passed over.
+    pub fn apply_config(&self, raw: &Bytes, source: &'static str) {
+        let config = match (self.decode_config)(raw) {
+            Ok(config) => config,
+            Err(error) => {
+                let event = LogEvent::LogRecordBad.number();
+                tracing::warn!(event, source, error, "a configuration can't be read");
+                return;
+            }
+        };
+        let (old, new) = (self.config_version(), config.version);
+        if new <= old {
+            return;
+        }
+        let event = LogEvent::ConfigInForce.number();
+        let (routes, organisations) = (config.routes.len(), config.organisations.len());
+        tracing::warn!(
+            event,
+            old,
+            new,
+            source,
+            routes,
+            organisations,
+            "configuration in force"
+        );
+        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::from_config(config)));
+        *self.raw_config.borrow_mut() = raw.clone();
+        self.proven.set(None);
+    }
+
+    /// Notes that `version` was the newest at `at` on the clock that suspension doesn't stop.
+    pub fn prove_newest(&self, version: u64, at: Duration) {
+        if version == self.config_version() && version > 0 {
+            self.proven.set(self.proven.get().max(Some(at)));
+        }
+    }
+
+    /// Age of the proof that the configuration in force is the newest.
+    pub fn proof_age(&self) -> Option<Duration> {
+        Some(boot_now().saturating_sub(self.proven.get()?))
+    }
+
+    /// Whether a withdrawal of a key may have been missed for longer than the bound.
+    pub fn proof_too_old(&self) -> bool {
+        self.proof_age()
+            .is_none_or(|age| age > self.settings.proof_age_limit)
+    }
+
+    /// Adds a daemon and links to it, unless it is known.
+    pub fn meet(self: &Rc<Self>, address: SocketAddrV4) {
+        if address == self.settings.link_address || self.peers.borrow().contains_key(&address) {
+            return;
+        }
+        let peer = Rc::new(Peer::from_address(address));
+        self.peers.borrow_mut().insert(address, peer.clone());
+        let event = LogEvent::MemberChanged.number();
+        tracing::info!(event, peer = %address, "a daemon is known");
+        let state = self.clone();
+        tokio::task::spawn_local(super::control::keep_link(state, peer));
+    }
+
+    /// Forgets a daemon that has been gone for long.
+    pub fn forget(&self, address: SocketAddrV4) {
+        self.peers.borrow_mut().remove(&address);
+        self.index_services();
+        let event = LogEvent::MemberChanged.number();
+        tracing::warn!(event, peer = %address, "a daemon is forgotten");
+    }
+
+    /// The other daemons.
+    pub fn peers(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// Daemons that are linked, this one included.
+    pub fn daemons(&self) -> usize {
+        let peers = self.peers.borrow();
+        1 + peers.values().filter(|one| one.sender().is_some()).count()
+    }
+
+    /// Runs `read` on the daemons beside endpoints of a service that take new work.
+    pub fn with_executors<T>(&self, service: &str, read: impl FnOnce(&[Rc<Peer>]) -> T) -> T {
+        let index = self.by_service.borrow();
+        read(index.get(service).map_or(&[], |peers| peers.as_slice()))
+    }
+
+    /// Builds the index of daemons by service anew, after a change.
+    pub fn index_services(&self) {
+        let mut index: HashMap<String, Vec<Rc<Peer>>> = HashMap::new();
+        for peer in self.peers.borrow().values() {
+            let service = peer.with_report(|report| {
+                let endpoint = report.endpoint.as_ref().filter(|_| !report.stopping);
+                endpoint.map(|one| one.service.clone())
+            });
+            if let Some(Some(service)) = service {
+                index.entry(service).or_default().push(peer.clone());
+            }
+        }
+        *self.by_service.borrow_mut() = index;
+    }
+
+    /// Adds a link on which another daemon hears of this one's changes.
+    pub fn add_listener(&self, sender: LinkSender) {
+        let mut listeners = self.listeners.borrow_mut();
+        listeners.retain(|one| !one.is_closed());
+        listeners.push(sender);
+    }
+
+    /// Tells all daemons of this one's state without waiting for them to ask.
+    pub fn announce(&self) {
+        let report = self.report();
+        for listener in self.listeners.borrow().iter() {
+            let report = report.clone();
+            let sequence = 0;
+            listener.send(&LinkFrame::Report { sequence, report }, &[]);
+        }
+    }
+
+    /// What this daemon says of itself.
+    pub fn report(&self) -> DaemonReport {
+        let gate = self.gate.borrow();
+        DaemonReport {
+            stopping: self.stopping.get(),
+            config_version: self.config_version(),
+            proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32),
+            endpoint: self.endpoint_report(),
+            organisations: gate.organisation_demand(),
+            classes: gate.class_rates(),
+            usage: gate.usage(),
+        }
+    }
+
+    /// The endpoint beside this daemon, while it may get new work.
+    pub fn endpoint_report(&self) -> Option<EndpointReport> {
+        let (beat, cold) = self.executor.usable()?;
+        Some(EndpointReport {
+            service: beat.service,
+            failure_domain: self.settings.failure_domain.clone(),
+            slots: beat.slots,
+            cold: !cold.is_zero(),
+            in_hand: self.executor.in_hand(),
+        })
+    }
+
+    /// Whether callers on this VM may send new work here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && !self.proof_too_old()
+    }
+
+    /// Whether the daemon was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Takes no new work for the endpoint and tells all daemons so.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.executor.stop();
+        self.announce();
+    }
+
+    /// Requests of callers that have no answer yet.
+    pub fn open_requests(&self) -> u32 {
+        self.open_requests.get()
+    }
+
+    /// Counts a request of a caller that is being answered.
+    pub fn open_request(&self, change: i32) {
+        let open = self.open_requests.get();
+        self.open_requests.set(open.saturating_add_signed(change));
+    }
+}
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -1,10 +1,16 @@
 //! What the system says of itself: numbered log events and metrics.
 
 mod event;
+mod line_buffer;
+#[cfg(feature = "product")]
 mod logs;
 mod metrics;
 
 pub use event::LogEvent;
+pub use line_buffer::start_lines;
+pub use line_buffer::LineBuffer;
+#[cfg(feature = "product")]
 pub use logs::start_logs;
+#[cfg(feature = "product")]
 pub use logs::LogGuard;
 pub use metrics::FleetMetrics;
--- a/src/operator/error.rs
+++ b/src/operator/error.rs
@@ -2,7 +2,7 @@
 
 use miette::Diagnostic;
 
-use crate::platform::LogError;
+use crate::upstream::LogError;
 use crate::settings::DocumentError;
 
 /// An operator's command did not do what it was to do.
--- a/src/operator/fleet.rs
+++ b/src/operator/fleet.rs
@@ -8,8 +8,8 @@
 use crate::decisions::configuration::ChangeVerdict;
 use crate::decisions::configuration::ConfigLedger;
 use crate::decisions::keys::KeyRing;
-use crate::platform::LogClient;
-use crate::platform::LogError;
+use crate::upstream::LogClient;
+use crate::upstream::LogError;
 use crate::wire::LogPage;
 use crate::wire::LogRecord;
 
--- a/src/operator/run.rs
+++ b/src/operator/run.rs
@@ -24,7 +24,7 @@
 use super::status;
 use crate::codes::ResultCode;
 use crate::observe::LogEvent;
-use crate::platform::hash_key;
+use crate::upstream::hash_key;
 
 /// A change must be in force everywhere within this time.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(9);
--- a/src/platform/endpoint.rs
+++ b/src/upstream/endpoint.rs
@@ -13,8 +13,6 @@
 pub const CONTEXT_HEADER: HeaderName = HeaderName::from_static("x-marigoldhatch-context");
 /// The caller's name for a request, the same on each repeat (the Idempotency-Key header draft).
 pub const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
-/// Number and class of the result.
-pub const RESULT_HEADER: HeaderName = HeaderName::from_static("x-marigoldhatch-result");
 /// Set by an endpoint that refused a request without running any of it.
 pub const SHED_HEADER: HeaderName = HeaderName::from_static("x-shed");
 
--- a/src/platform/mod.rs
+++ b/src/upstream/mod.rs
@@ -14,7 +14,6 @@
 pub use endpoint::CONTEXT_HEADER;
 pub use endpoint::DEADLINE_HEADER;
 pub use endpoint::IDEMPOTENCY_HEADER;
-pub use endpoint::RESULT_HEADER;
 pub use endpoint::SHED_HEADER;
 pub use log::LogClient;
 pub use log::LogError;
--- a/tests/scenarios/support/fleet.rs
+++ b/tests/scenarios/support/fleet.rs
@@ -13,7 +13,7 @@
 use marigoldhatch::operator::publish_config;
 use marigoldhatch::operator::withdraw_key;
 use marigoldhatch::operator::FleetLog;
-use marigoldhatch::platform::hash_key;
+use marigoldhatch::upstream::hash_key;
 use marigoldhatch::wire::Importance;
 use marigoldhatch::wire::OrganisationTerms;
 use marigoldhatch::wire::ServiceConfig;
