Learn tree costs from sums, tell parents by identity, follow the settings file

Costs divided lagging use by admissions that had just been cut, so they rose as the share fell; and at a busy endpoint the nearest deadline named the wrong parent. Ruled out: quotas (refusals there are not owed), capacity (the scarce service had room from second 12 on).

Change: busy and admitted decay alike and their ratio is the cost; a call's parent is told by the identity where it is one of a running request, otherwise by the deadline among classes seen to call; the trim of the supply follows smoothed work in hand in small steps; SIGHUP and silent changes of the settings file are read.

--- a/src/daemon/options.rs
+++ b/src/daemon/options.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use crate::upstream::LogClient;
 use crate::settings::CheckedDocument;
 use crate::settings::DaemonSettings;
 use crate::settings::DocumentError;
 use crate::settings::DocumentFault;
 use crate::settings::SETTINGS_SCHEMA;
+use crate::upstream::LogClient;
 use crate::wire::seal::FleetKey;
 
 /// Why the settings can't be used.
--- a/src/daemon/traffic/headers.rs
+++ b/src/daemon/traffic/headers.rs
@@ -11,9 +11,9 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 
+use crate::codes::RESULT_HEADER;
 use crate::upstream::CONTEXT_HEADER;
 use crate::upstream::DEADLINE_HEADER;
-use crate::codes::RESULT_HEADER;
 
 /// The envelope of a forwarded call.
 pub const ENVELOPE_HEADER: HeaderName = HeaderName::from_static("x-marigoldhatch-envelope");
--- a/src/daemon/traffic/run.rs
+++ b/src/daemon/traffic/run.rs
@@ -16,11 +16,11 @@
 use super::state::TrafficState;
 use crate::codes::ResultCode;
 use crate::daemon::shared::lock;
+use crate::transport::SendError;
+use crate::transport::SendPlan;
 use crate::upstream::endpoint_shed;
 use crate::upstream::CONTEXT_HEADER;
 use crate::upstream::DEADLINE_HEADER;
-use crate::transport::SendError;
-use crate::transport::SendPlan;
 use crate::wire::CallEnvelope;
 
 /// A place at the gate, given back when the call ends however it ends.
--- a/src/decisions/roots/trim.rs
+++ b/src/decisions/roots/trim.rs
@@ -1,33 +1,37 @@
 //! Corrects the assumed supply of a service by the queue that forms there.
 
-/// Work in hand over slots above which too much was let in.
-const OVERFULL: f64 = 1.1;
-/// Work in hand over slots below which more may enter.
-const ROOMY: f64 = 0.92;
-const CUT: f64 = 0.94;
-const RAISE: f64 = 1.02;
-const MIN_TRIM: f64 = 0.4;
+/// Work in hand over slots at which a service is neither idle nor queueing.
+const FULL: f64 = 1.0;
+/// Weight of one more report in the smoothed work in hand.
+const REPORT_WEIGHT: f64 = 0.25;
+/// Change of the factor for each unit of work in hand off the mark.
+const GAIN: f64 = 0.08;
+/// Largest change with one report: use follows admission by about a second.
+const MAX_STEP: f64 = 0.02;
+const MIN_TRIM: f64 = 0.6;
 const MAX_TRIM: f64 = 1.15;
 
-/// A factor on the slots of one service; it falls quickly and rises slowly.
+/// A factor on the slots of one service.
 #[derive(Debug, Clone, Copy)]
 pub struct SupplyTrim {
     factor: f64,
+    occupancy: f64,
 }
 
 impl SupplyTrim {
     /// Starts at the announced slots.
     pub fn start() -> Self {
-        Self { factor: 1.0 }
+        Self {
+            factor: 1.0,
+            occupancy: 0.0,
+        }
     }
 
     /// Takes the work in hand over slots of one more report.
     pub fn observe(&mut self, occupancy: f64) {
-        if occupancy > OVERFULL {
-            self.factor = (self.factor * CUT).max(MIN_TRIM);
-        } else if occupancy < ROOMY {
-            self.factor = (self.factor * RAISE).min(MAX_TRIM);
-        }
+        self.occupancy += REPORT_WEIGHT * (occupancy - self.occupancy);
+        let step = (GAIN * (FULL - self.occupancy)).clamp(-MAX_STEP, MAX_STEP);
+        self.factor = (self.factor * (1.0 + step)).clamp(MIN_TRIM, MAX_TRIM);
     }
 
     /// What the slots are multiplied by.
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -13,9 +13,9 @@
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
+use super::super::executor::read_hello;
 use super::super::executor::CallOutcome;
 use super::super::executor::EndpointAnswer;
-use super::super::executor::read_hello;
 use super::super::fleet::DaemonReport;
 use super::super::fleet::Peer;
 use super::super::fleet::PeerReply;
--- a/src/mesh/control/tick.rs
+++ b/src/mesh/control/tick.rs
@@ -32,8 +32,8 @@
     let mut reports: Vec<(u64, DaemonReport)> = Vec::with_capacity(peers.len() + 1);
     for peer in &peers {
         if let Some(report) = peer.with_report(Clone::clone) {
-            let id = (u64::from(u32::from(*peer.address.ip())) << 16)
-                | u64::from(peer.address.port());
+            let id =
+                (u64::from(u32::from(*peer.address.ip())) << 16) | u64::from(peer.address.port());
             reports.push((id, report));
         }
     }
@@ -42,5 +42,5 @@
     gate.measure(&used, elapsed);
     let own = state.endpoint_report();
     gate.deal_quotas(&reports, elapsed);
-    gate.deal_classes(&reports, own.as_ref());
+    gate.deal_classes(&reports, own.as_ref(), elapsed);
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -55,7 +55,11 @@
     /// Stops: new work goes elsewhere, what runs is finished, connections are closed.
     pub async fn close(self) {
         let begun = Instant::now();
-        let grace = self.state.settings.stop_grace.saturating_sub(GRACE_RESERVE);
+        let grace = self
+            .state
+            .settings()
+            .stop_grace
+            .saturating_sub(GRACE_RESERVE);
         let event = LogEvent::DaemonStopping.number();
         tracing::warn!(
             event,
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -61,7 +61,8 @@
     let asked = head::caller_deadline(&state.dialect, headers);
     let time = asked.unwrap_or(route.timeout).min(route.timeout);
     let own_deadline = arrived + asked.unwrap_or(route.timeout);
-    let origin = find_origin(state, route, organisation, own_deadline);
+    let attempt = head::attempt_id(&state.dialect, headers);
+    let origin = find_origin(state, route, organisation, own_deadline, attempt);
     let refuse = |code, share| {
         let retry_after = retry_after(state, route, asked.unwrap_or(route.timeout));
         Err(Box::new(RefusedRequest {
@@ -119,7 +120,7 @@
         return Ok(organisation);
     }
     if state.proof_too_old() {
-        let wait = state.settings.proof_age_limit / 4;
+        let wait = state.settings().proof_age_limit / 4;
         return Err(refused(ResultCode::CutOff, Some(wait)));
     }
     match (key, organisation) {
@@ -135,10 +136,11 @@
     route: &RouteRule,
     organisation: Option<&OrganisationRule>,
     deadline: Instant,
+    attempt: &str,
 ) -> CallOrigin {
     let keyless = route.open_to_all && organisation.is_none();
     if keyless {
-        if let Some(parent) = state.executor.find_parent(deadline) {
+        if let Some(parent) = state.executor.find_parent(deadline, attempt) {
             return CallOrigin {
                 nested: true,
                 ..parent
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -111,7 +111,10 @@
         let seconds = elapsed.as_secs_f64().max(0.01);
         for state in self.classes.values_mut() {
             smooth(&mut state.offered_rate, f64::from(state.offered) / seconds);
-            smooth(&mut state.admitted_rate, f64::from(state.admitted) / seconds);
+            smooth(
+                &mut state.admitted_rate,
+                f64::from(state.admitted) / seconds,
+            );
             state.offered = 0;
             state.admitted = 0;
         }
@@ -151,15 +154,20 @@
         &mut self,
         reports: &[(u64, DaemonReport)],
         own: Option<&EndpointReport>,
+        elapsed: Duration,
     ) {
         let mut fleet = FleetView::default();
         for (_, report) in reports {
             fleet.add(report.endpoint.as_ref(), &report.classes, &report.usage);
         }
         fleet.add(own, &self.class_rates(), &self.usage());
+        let seconds = elapsed.as_secs_f64();
+        self.costs.decay(elapsed);
         for ((route, service), busy) in &fleet.busy {
-            let admitted = fleet.admitted.get(route).copied().unwrap_or(0.0);
-            self.costs.observe(*route, *service, *busy, admitted);
+            self.costs.note_busy(*route, *service, busy * seconds);
+        }
+        for (route, admitted) in &fleet.admitted {
+            self.costs.note_admitted(*route, admitted * seconds);
         }
         let services: Vec<u32> = fleet.services.keys().copied().collect();
         let supplies: Vec<ServiceSupply> = services
@@ -185,7 +193,10 @@
 
     /// What this entry is asked for and admits, by class.
     pub fn class_rates(&self) -> Vec<ClassRate> {
-        let live = self.classes.iter().filter(|(_, one)| one.offered_rate > 0.02);
+        let live = self
+            .classes
+            .iter()
+            .filter(|(_, one)| one.offered_rate > 0.02);
         live.map(|(class, state)| ClassRate {
             class: *class,
             offered: (state.offered_rate * CLASS_SECONDS) as u32,
--- a/src/mesh/entry/place.rs
+++ b/src/mesh/entry/place.rs
@@ -93,7 +93,7 @@
 
 /// Calls of a run that was itself a repeat count as repeats, whatever the budget says.
 fn count_first(state: &MeshState, request: &CallRequest) {
-    let rule = &state.settings.repeat_rule;
+    let rule = &state.settings().repeat_rule;
     let now = state.now();
     let mut gate = state.gate.borrow_mut();
     let budget = gate.repeats(&request.service);
@@ -104,7 +104,7 @@
 }
 
 fn spend_repeat(state: &MeshState, service: &str) -> bool {
-    let rule = state.settings.repeat_rule;
+    let rule = state.settings().repeat_rule;
     let daemons = state.daemons();
     let mut gate = state.gate.borrow_mut();
     gate.spend_repeat(service, &rule, daemons, state.now())
@@ -130,7 +130,7 @@
     service: &str,
     tried: &[SocketAddrV4],
 ) -> Option<(SocketAddrV4, ExecutorPlace)> {
-    let own_address = state.settings.link_address;
+    let own_address = state.settings().link_address;
     let own = state
         .endpoint_report()
         .filter(|one| one.service == service && !state.is_stopping())
@@ -144,7 +144,7 @@
                     in_hand: peer.load(),
                     slots: endpoint.slots,
                     cold: endpoint.cold,
-                    same_domain: endpoint.failure_domain == state.settings.failure_domain,
+                    same_domain: endpoint.failure_domain == state.settings().failure_domain,
                 })
             });
             if let Some(Some(load)) = load {
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -74,11 +74,7 @@
     }
 }
 
-async fn serve_caller(
-    state: Rc<MeshState>,
-    stream: TcpStream,
-    mut stopped: watch::Receiver<bool>,
-) {
+async fn serve_caller(state: Rc<MeshState>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::warn!(%error, "options of a caller's connection can't be set");
     }
@@ -152,7 +148,8 @@
         Ok(Err(_)) | Err(_) => return own_answer(ResultCode::BodyTimeout, None),
     };
     let organisation = admitted.organisation.as_deref();
-    let service = &state.settings.service;
+    let settings = state.settings();
+    let service = settings.service.as_str();
     head::clean_request(&state.dialect, &mut parts.headers, organisation, service);
     let target = parts.uri.path_and_query().cloned().map(Uri::from);
     let mut call = CallRequest {
@@ -205,7 +202,16 @@
             let latest = (admitted.latency_target / 2).min(left / 3);
             let part = state.rng.borrow_mut().random_range(0.4..1.0);
             let event = LogEvent::CallRefused.number();
-            tracing::warn!(event, id, service = &*admitted.service, ?code, took_ms, nested = admitted.origin.nested, config = state.config_version(), "failed");
+            tracing::warn!(
+                event,
+                id,
+                service = &*admitted.service,
+                ?code,
+                took_ms,
+                nested = admitted.origin.nested,
+                config = state.config_version(),
+                "failed"
+            );
             own_answer(code, Some(latest.mul_f64(part)))
         }
     }
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -24,6 +24,7 @@
 use super::super::link::RefusalCause;
 use super::judge::judge_answer;
 use super::judge::AnswerVerdict;
+use super::parents::ParentKey;
 use super::parents::ParentTable;
 use super::pool::connect;
 use super::pool::ConnectionPool;
@@ -76,7 +77,7 @@
 #[derive(Debug)]
 pub struct EndpointExecutor {
     dialect: HeaderDialect,
-    announce_interval: Duration,
+    announce_interval: Cell<Duration>,
     started: Instant,
     belief: RefCell<EndpointBelief>,
     slots: Rc<SlotQueue>,
@@ -91,7 +92,7 @@
     pub fn start(dialect: HeaderDialect, announce_interval: Duration) -> Self {
         Self {
             dialect,
-            announce_interval,
+            announce_interval: Cell::new(announce_interval),
             started: Instant::now(),
             belief: RefCell::new(EndpointBelief::default()),
             slots: SlotQueue::start(),
@@ -102,6 +103,11 @@
         }
     }
 
+    /// Changes the time between two announcements that is expected.
+    pub fn set_interval(&self, interval: Duration) {
+        self.announce_interval.set(interval);
+    }
+
     /// Takes an announcement of the endpoint.
     pub fn hear(&self, beat: EndpointBeat) -> BeliefChange {
         let slots = beat.slots;
@@ -135,7 +141,7 @@
     /// The announcement of an endpoint that may get new calls, with the time it stays slow.
     pub fn usable(&self) -> Option<(EndpointBeat, Duration)> {
         let belief = self.belief.borrow();
-        let beat = belief.usable(self.announce_interval, self.now())?;
+        let beat = belief.usable(self.announce_interval.get(), self.now())?;
         Some((beat.clone(), belief.cold_left(self.now())))
     }
 
@@ -150,8 +156,8 @@
     }
 
     /// The request that a call of the endpoint with this deadline belongs to.
-    pub fn find_parent(&self, deadline: Instant) -> Option<CallOrigin> {
-        self.parents.borrow().find(deadline)
+    pub fn find_parent(&self, deadline: Instant, attempt: &str) -> Option<CallOrigin> {
+        self.parents.borrow_mut().find(deadline, attempt)
     }
 
     /// Slot-seconds used by trees of each route since the last call.
@@ -220,10 +226,13 @@
         let request = self.request(call, &beat.id);
         let until = call.deadline + ANSWER_GRACE;
         handed.set(true);
-        let parent = self.parents.borrow_mut().add(call.deadline, call.origin);
+        let attempt = self.attempt(call);
+        let mut parents = self.parents.borrow_mut();
+        let key = parents.add(call.deadline, attempt, call.origin);
+        drop(parents);
         let _guard = ParentGuard {
             parents: &self.parents,
-            key: parent,
+            key,
         };
         let sent = connection.sender.try_send_request(request);
         let response = match timeout_at(until, sent).await {
@@ -314,7 +323,7 @@
 
     fn identity(&self, service: &str) -> Option<EndpointBeat> {
         let belief = self.belief.borrow();
-        let beat = belief.usable(self.announce_interval, self.now())?;
+        let beat = belief.usable(self.announce_interval.get(), self.now())?;
         (beat.service == service).then(|| beat.clone())
     }
 
@@ -336,12 +345,16 @@
     }
 
     fn log_unknown(&self, call: &CallRequest, error: &str) {
-        let id = call.headers.get(&self.dialect.attempt);
-        let id = id.and_then(|value| value.to_str().ok()).unwrap_or("");
+        let id = self.attempt(call);
         let event = LogEvent::CallUnknown.number();
         tracing::warn!(event, id, error, "the endpoint gave no whole answer");
     }
 
+    fn attempt<'a>(&self, call: &'a CallRequest) -> &'a str {
+        let id = call.headers.get(&self.dialect.attempt);
+        id.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
     fn now(&self) -> Duration {
         self.started.elapsed()
     }
@@ -357,11 +370,11 @@
 
 struct ParentGuard<'a> {
     parents: &'a RefCell<ParentTable>,
-    key: (Instant, u64),
+    key: ParentKey,
 }
 
 impl Drop for ParentGuard<'_> {
     fn drop(&mut self) {
-        self.parents.borrow_mut().remove(self.key);
+        self.parents.borrow_mut().remove(&self.key);
     }
 }
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -16,6 +16,7 @@
 pub use endpoint::EndpointExecutor;
 pub use judge::judge_answer;
 pub use judge::AnswerVerdict;
+pub use parents::ParentKey;
 pub use parents::ParentTable;
 pub use serve::accept_links;
 pub use serve::read_hello;
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -128,7 +128,8 @@
         self.note_load(load);
         let mut last = self.report.borrow_mut();
         let changed = last.as_ref().is_none_or(|old| {
-            let services = |one: &DaemonReport| one.endpoint.as_ref().map(|end| end.service.clone());
+            let services =
+                |one: &DaemonReport| one.endpoint.as_ref().map(|end| end.service.clone());
             old.stopping != report.stopping || services(old) != services(&report)
         });
         *last = Some(report);
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -34,7 +34,7 @@
 
 /// The state of one daemon.
 pub struct MeshState {
-    pub settings: MeshSettings,
+    settings: RefCell<Rc<MeshSettings>>,
     pub dialect: HeaderDialect,
     pub executor: EndpointExecutor,
     pub calls: RefCell<CallTable>,
@@ -65,7 +65,7 @@
         let incarnation = rng.random();
         let executor = EndpointExecutor::start(dialect.clone(), settings.announce_interval);
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             dialect,
             executor,
             calls: RefCell::new(CallTable::default()),
@@ -86,6 +86,24 @@
         })
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<MeshSettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts changed settings in force; addresses stay as they were, since sockets are bound.
+    pub fn reload(&self, settings: MeshSettings) {
+        let event = LogEvent::SettingsReloaded.number();
+        tracing::warn!(event, ?settings, "the settings were read again");
+        let old = self.settings();
+        self.executor.set_interval(settings.announce_interval);
+        *self.settings.borrow_mut() = Rc::new(MeshSettings {
+            caller_address: old.caller_address,
+            link_address: old.link_address,
+            ..settings
+        });
+    }
+
     /// Time since the start of the daemon.
     pub fn now(&self) -> Duration {
         self.started.elapsed()
@@ -102,7 +120,7 @@
     pub fn hello(&self) -> LinkHello {
         LinkHello {
             incarnation: self.incarnation,
-            address: self.settings.link_address,
+            address: self.settings().link_address,
             known: self.peers.borrow().keys().copied().collect(),
         }
     }
@@ -168,12 +186,12 @@
     /// Whether a withdrawal of a key may have been missed for longer than the bound.
     pub fn proof_too_old(&self) -> bool {
         self.proof_age()
-            .is_none_or(|age| age > self.settings.proof_age_limit)
+            .is_none_or(|age| age > self.settings().proof_age_limit)
     }
 
     /// Adds a daemon and links to it, unless it is known.
     pub fn meet(self: &Rc<Self>, address: SocketAddrV4) {
-        if address == self.settings.link_address || self.peers.borrow().contains_key(&address) {
+        if address == self.settings().link_address || self.peers.borrow().contains_key(&address) {
             return;
         }
         let peer = Rc::new(Peer::from_address(address));
@@ -260,7 +278,7 @@
         let (beat, cold) = self.executor.usable()?;
         Some(EndpointReport {
             service: beat.service,
-            failure_domain: self.settings.failure_domain.clone(),
+            failure_domain: self.settings().failure_domain.clone(),
             slots: beat.slots,
             cold: !cold.is_zero(),
             in_hand: self.executor.in_hand(),
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -27,6 +27,9 @@
     DaemonStarted = 1001, "The daemon has started.";
     DaemonStopping = 1002, "The daemon refuses new work and finishes what runs.";
     DaemonStopped = 1003, "The daemon has stopped.";
+    LinesDropped = 1004, "Log lines were dropped, since the writer fell behind.";
+    SettingsReloaded = 1005, "The settings were read again.";
+    SettingsBad = 1006, "Changed settings can't be used; the daemon goes on with the old ones.";
     EndpointAnnounced = 1101, "The endpoint on this VM announced itself or changed its announcement.";
     EndpointSilent = 1102, "The endpoint on this VM stopped announcing itself.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
--- a/src/operator/error.rs
+++ b/src/operator/error.rs
@@ -2,8 +2,8 @@
 
 use miette::Diagnostic;
 
-use crate::upstream::LogError;
 use crate::settings::DocumentError;
+use crate::upstream::LogError;
 
 /// An operator's command did not do what it was to do.
 #[derive(Debug, thiserror::Error, Diagnostic)]
