Learn tree costs from answered requests; order by organisation's and route's rank

Quotas began empty at the first request of an organisation, not at the daemon's start, which refused requests within rate.

Change: each answer carries the slot time of its whole tree; cost is the mean over answered trees; a long queue cuts the supply faster; calls wait for at most 0.3 of the time left; the rank is the organisation's, then the route's; quotas admit freely until what is asked beyond the rate within a report's age could overdraw them.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -7,13 +7,18 @@
 use std::time::Duration;
 
 /// Part of the burst below which a daemon keeps to its own share of the rate.
-const FREE_LEVEL: f64 = 0.5;
+const FREE_LEVEL: f64 = 0.1;
+/// Reports of what others admitted are about this old; what is asked beyond the rate in this time
+/// must still fit into the bucket.
+const REPORT_AGE: Duration = Duration::from_millis(450);
 /// A daemon's own part holds this many seconds of its rate for uneven arrivals.
-const OWN_SECONDS: f64 = 0.4;
-/// A daemon with no demand yet may admit this many requests at once.
-const OWN_FLOOR: f64 = 1.0;
-/// Weight of a new second in the smoothed demand.
-const DEMAND_WEIGHT: f64 = 0.3;
+const OWN_SECONDS: f64 = 0.7;
+/// A daemon with little demand may still admit this many requests at once.
+const OWN_FLOOR: f64 = 1.5;
+/// The part of its rate that a daemon uses while the organisation's bucket is overdrawn.
+const DEBT_PART: f64 = 0.75;
+/// Time over which the demand is smoothed.
+const DEMAND_MEMORY: Duration = Duration::from_millis(700);
 
 /// The quota of one organisation.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -49,8 +54,9 @@
 }
 
 impl QuotaShare {
-    /// Starts with nothing saved: a daemon that restarts must not bring a new burst.
-    pub fn start(now: Duration) -> Self {
+    /// Starts with an empty bucket at the daemon's start: the bucket of a daemon that runs fills up
+    /// with its time, and one that restarts brings no new burst.
+    pub fn start() -> Self {
         Self {
             fleet_level: 0.0,
             own_level: OWN_FLOOR,
@@ -59,7 +65,7 @@
             daemons: 1,
             asked: 0.0,
             admitted: 0,
-            updated: now,
+            updated: Duration::ZERO,
         }
     }
 
@@ -82,7 +88,9 @@
     pub fn admit(&mut self, rule: &QuotaRule, now: Duration) -> bool {
         self.refill(rule, now);
         self.asked += 1.0;
-        let free = self.fleet_level >= rule.burst * FREE_LEVEL;
+        let beyond = (self.own_rate + self.peer_rate - rule.rate).max(0.0);
+        let kept = rule.burst * FREE_LEVEL + beyond * REPORT_AGE.as_secs_f64();
+        let free = self.fleet_level >= kept + 1.0;
         if !free && self.own_level < 1.0 {
             return false;
         }
@@ -95,7 +103,7 @@
     /// Takes what the other daemons reported, `elapsed` after the last such call.
     pub fn learn(&mut self, peers: PeerDemand, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(0.01);
-        let weight = (DEMAND_WEIGHT * seconds).min(1.0);
+        let weight = (seconds / DEMAND_MEMORY.as_secs_f64()).min(1.0);
         self.own_rate += weight * (self.asked / seconds - self.own_rate);
         self.asked = 0.0;
         self.peer_rate = peers.rate;
@@ -107,7 +115,12 @@
         let seconds = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = now;
         self.fleet_level = (self.fleet_level + rule.rate * seconds).clamp(-rule.burst, rule.burst);
-        let own = rule.rate * self.share();
+        let debt = if self.fleet_level < 0.0 {
+            DEBT_PART
+        } else {
+            1.0
+        };
+        let own = rule.rate * self.share() * debt;
         let most = (own * OWN_SECONDS).max(OWN_FLOOR);
         self.own_level = (self.own_level + own * seconds).min(most);
     }
--- a/src/decisions/roots/costs.rs
+++ b/src/decisions/roots/costs.rs
@@ -1,59 +1,51 @@
-//! What the whole tree of a route's request costs at each service, learned from use.
+//! What the whole tree of a route's request costs at each service.
+//!
+//! Learned from the trees of requests that were answered: those that failed stopped half-way and
+//! would make a collapse look cheap.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use smallvec::SmallVec;
 
-/// Memory of use and admissions. Both decay alike, so their ratio holds while admission changes
-/// quickly and the use that belongs to it comes later.
-const MEMORY: Duration = Duration::from_secs(8);
-/// Fewer admitted requests than this say too little about a cost.
-const MIN_REQUESTS: f64 = 5.0;
+/// Weight of one more tree, once enough were seen.
+const TREE_WEIGHT: f64 = 0.04;
 /// Costs below this, in slot-seconds, don't count.
 const MIN_COST: f64 = 0.002;
 
-/// Decayed sums of slot-seconds and of admitted requests.
+#[derive(Debug, Default)]
+struct RouteCosts {
+    trees: u32,
+    mean: HashMap<u32, f64>,
+}
+
+/// Smoothed slot-seconds of each route's trees at each service.
 #[derive(Debug, Default)]
 pub struct TreeCosts {
-    busy: HashMap<(u32, u32), f64>,
-    admitted: HashMap<u32, f64>,
+    routes: HashMap<u32, RouteCosts>,
 }
 
 impl TreeCosts {
-    /// Forgets a part of what was seen, before the observations of the next `elapsed`.
-    pub fn decay(&mut self, elapsed: Duration) {
-        let keep = (-elapsed.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        self.busy.values_mut().for_each(|sum| *sum *= keep);
-        self.admitted.values_mut().for_each(|sum| *sum *= keep);
-        self.busy.retain(|_, sum| *sum > 1e-3);
-        self.admitted.retain(|_, sum| *sum > 1e-3);
-    }
-
-    /// Notes slot-seconds that trees of a route used at a service.
-    pub fn note_busy(&mut self, route: u32, service: u32, seconds: f64) {
-        *self.busy.entry((route, service)).or_default() += seconds;
-    }
-
-    /// Notes requests of a route that were let in.
-    pub fn note_admitted(&mut self, route: u32, requests: f64) {
-        *self.admitted.entry(route).or_default() += requests;
+    /// Takes the slot-seconds that one whole tree used, by service.
+    pub fn note_tree(&mut self, route: u32, used: impl Iterator<Item = (u32, f64)>) {
+        let costs = self.routes.entry(route).or_default();
+        costs.trees = costs.trees.saturating_add(1);
+        let weight = TREE_WEIGHT.max(1.0 / f64::from(costs.trees));
+        costs
+            .mean
+            .values_mut()
+            .for_each(|mean| *mean *= 1.0 - weight);
+        for (service, seconds) in used {
+            *costs.mean.entry(service).or_default() += weight * seconds;
+        }
     }
 
-    /// The costs of one route at the given services, by their positions.
-    pub fn at(&self, route: u32, services: &[u32]) -> SmallVec<[(usize, f64); 4]> {
-        let mut found = SmallVec::new();
-        let admitted = self.admitted.get(&route).copied().unwrap_or(0.0);
-        if admitted < MIN_REQUESTS {
-            return found;
-        }
-        for (index, service) in services.iter().enumerate() {
-            let busy = self.busy.get(&(route, *service)).copied().unwrap_or(0.0);
-            let cost = busy / admitted;
-            if cost >= MIN_COST {
-                found.push((index, cost));
-            }
-        }
-        found
+    /// What is known of a route: pairs of a service and slot-seconds.
+    pub fn of(&self, route: u32) -> SmallVec<[(u32, f64); 4]> {
+        let costs = self.routes.get(&route).into_iter();
+        costs
+            .flat_map(|one| one.mean.iter())
+            .filter(|(_, cost)| **cost >= MIN_COST)
+            .map(|(service, cost)| (*service, *cost))
+            .collect()
     }
 }
--- a/src/decisions/roots/trim.rs
+++ b/src/decisions/roots/trim.rs
@@ -1,14 +1,18 @@
 //! Corrects the assumed supply of a service by the queue that forms there.
+//!
+//! What trees cost is learned, and after a restart of the whole fleet nothing is known while all
+//! callers come back at once. A long queue then cuts the supply until trees are finished again.
 
 /// Work in hand over slots at which a service is neither idle nor queueing.
 const FULL: f64 = 1.0;
 /// Weight of one more report in the smoothed work in hand.
-const REPORT_WEIGHT: f64 = 0.25;
+const REPORT_WEIGHT: f64 = 0.35;
 /// Change of the factor for each unit of work in hand off the mark.
-const GAIN: f64 = 0.08;
-/// Largest change with one report: use follows admission by about a second.
-const MAX_STEP: f64 = 0.02;
-const MIN_TRIM: f64 = 0.6;
+const GAIN: f64 = 0.06;
+/// Largest changes with one report: use follows admission by about a second.
+const MAX_RAISE: f64 = 0.03;
+const MAX_CUT: f64 = 0.12;
+const MIN_TRIM: f64 = 0.2;
 const MAX_TRIM: f64 = 1.15;
 
 /// A factor on the slots of one service.
@@ -30,7 +34,7 @@
     /// Takes the work in hand over slots of one more report.
     pub fn observe(&mut self, occupancy: f64) {
         self.occupancy += REPORT_WEIGHT * (occupancy - self.occupancy);
-        let step = (GAIN * (FULL - self.occupancy)).clamp(-MAX_STEP, MAX_STEP);
+        let step = (GAIN * (FULL - self.occupancy)).clamp(-MAX_CUT, MAX_RAISE);
         self.factor = (self.factor * (1.0 + step)).clamp(MIN_TRIM, MAX_TRIM);
     }
 
--- a/src/mesh/control/tick.rs
+++ b/src/mesh/control/tick.rs
@@ -37,10 +37,9 @@
             reports.push((id, report));
         }
     }
-    let used = state.executor.take_usage();
     let mut gate = state.gate.borrow_mut();
-    gate.measure(&used, elapsed);
+    gate.measure(elapsed);
     let own = state.endpoint_report();
     gate.deal_quotas(&reports, elapsed);
-    gate.deal_classes(&reports, own.as_ref(), elapsed);
+    gate.deal_classes(&reports, own.as_ref());
 }
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -20,6 +20,11 @@
 /// A new request waits for a slot for at most this part of its latency target; then it is refused
 /// while its caller can still come back in time.
 const PATIENCE_PART: f64 = 0.125;
+/// A call waits for a slot for at most this part of the time that is left. Trees make several calls
+/// in turn, and one that waits longer only fails later.
+const CALL_PATIENCE_PART: f64 = 0.3;
+/// Ranks of organisations and of routes are below this; an organisation's goes first.
+const RANKS: u8 = 16;
 
 /// A request that may go to a service.
 #[derive(Debug)]
@@ -28,6 +33,8 @@
     pub idempotent: bool,
     pub organisation: Option<String>,
     pub origin: CallOrigin,
+    /// The request at the endpoint on this VM that made this call.
+    pub parent: Option<u64>,
     pub deadline: Instant,
     pub patience: Duration,
     pub max_attempts: u32,
@@ -62,7 +69,7 @@
     let time = asked.unwrap_or(route.timeout).min(route.timeout);
     let own_deadline = arrived + asked.unwrap_or(route.timeout);
     let attempt = head::attempt_id(&state.dialect, headers);
-    let origin = find_origin(state, route, organisation, own_deadline, attempt);
+    let (parent, origin) = find_origin(state, route, organisation, own_deadline, attempt);
     let refuse = |code, share| {
         let retry_after = retry_after(state, route, asked.unwrap_or(route.timeout));
         Err(Box::new(RefusedRequest {
@@ -91,7 +98,7 @@
         return refuse(ResultCode::NoEndpoint, 1.0);
     };
     let patience = if origin.nested {
-        time
+        time.mul_f64(CALL_PATIENCE_PART)
     } else {
         route.latency_target.mul_f64(PATIENCE_PART)
     };
@@ -100,6 +107,7 @@
         idempotent: route.idempotent,
         organisation: organisation.map(|one| one.name.clone()),
         origin,
+        parent,
         deadline: arrived + time,
         patience,
         max_attempts: route.max_attempts,
@@ -137,25 +145,29 @@
     organisation: Option<&OrganisationRule>,
     deadline: Instant,
     attempt: &str,
-) -> CallOrigin {
+) -> (Option<u64>, CallOrigin) {
     let keyless = route.open_to_all && organisation.is_none();
     if keyless {
-        if let Some(parent) = state.executor.find_parent(deadline, attempt) {
-            return CallOrigin {
+        if let Some((number, parent)) = state.executor.find_parent(deadline, attempt) {
+            let origin = CallOrigin {
                 nested: true,
                 ..parent
             };
+            return (Some(number), origin);
         }
     }
-    let rank = organisation.and_then(|one| one.rank).unwrap_or(route.rank);
-    CallOrigin {
+    let owner_rank = organisation.and_then(|one| one.rank).unwrap_or(route.rank);
+    let rank = owner_rank.min(RANKS - 1) * RANKS + route.rank.min(RANKS - 1);
+    let origin = CallOrigin {
         class: ClassKey {
-            rank,
+            // A call whose request isn't known belongs to admitted work and goes first.
+            rank: if keyless { 0 } else { rank },
             route: hash_name(&route.name),
         },
         nested: keyless,
         repeat: false,
-    }
+    };
+    (None, origin)
 }
 
 /// When to come back: soon enough to be answered within the latency target, and spread, so that the
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -8,7 +8,7 @@
 use super::super::fleet::DaemonReport;
 use super::super::fleet::EndpointReport;
 use super::super::fleet::OrganisationDemand;
-use super::super::fleet::RouteUsage;
+use super::super::link::ServiceUse;
 use crate::decisions::quota::PeerDemand;
 use crate::decisions::quota::QuotaRule;
 use crate::decisions::quota::QuotaShare;
@@ -27,13 +27,12 @@
 const PLANNED_USE: f64 = 0.93;
 /// Rates travel as whole numbers of requests in this many seconds.
 const CLASS_SECONDS: f64 = 100.0;
+const MICROSECONDS: f64 = 1e6;
 
 #[derive(Debug)]
 struct ClassState {
     offered: u32,
-    admitted: u32,
     offered_rate: f64,
-    admitted_rate: f64,
     share: f64,
     credit: f64,
 }
@@ -42,9 +41,7 @@
     fn default() -> Self {
         Self {
             offered: 0,
-            admitted: 0,
             offered_rate: 0.0,
-            admitted_rate: 0.0,
             share: 1.0,
             credit: 0.5,
         }
@@ -57,7 +54,6 @@
     classes: HashMap<ClassKey, ClassState>,
     quotas: HashMap<u32, QuotaShare>,
     peer_admitted: HashMap<(u64, u32), u64>,
-    usage: HashMap<u32, f64>,
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
     repeats: HashMap<u32, RepeatBudget>,
@@ -73,7 +69,6 @@
             return false;
         }
         state.credit -= 1.0;
-        state.admitted += 1;
         true
     }
 
@@ -85,9 +80,7 @@
     /// Charges an organisation's quota, if it has room.
     pub fn admit_organisation(&mut self, name: &str, rule: &QuotaRule, now: Duration) -> bool {
         let quota = self.quotas.entry(hash_name(name));
-        quota
-            .or_insert_with(|| QuotaShare::start(now))
-            .admit(rule, now)
+        quota.or_insert_with(QuotaShare::start).admit(rule, now)
     }
 
     /// The budget of repeats to a service.
@@ -106,25 +99,21 @@
         self.repeats(service).spend(rule, daemons, now)
     }
 
+    /// Takes what the whole tree of an answered request used.
+    pub fn note_tree(&mut self, route: u32, used: &[ServiceUse]) {
+        let pairs = used.iter();
+        let pairs = pairs.map(|one| (one.service, f64::from(one.slot_us) / MICROSECONDS));
+        self.costs.note_tree(route, pairs);
+    }
+
     /// Smooths what this daemon saw since the last deal.
-    pub fn measure(&mut self, used: &HashMap<u32, f64>, elapsed: Duration) {
+    pub fn measure(&mut self, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(0.01);
         for state in self.classes.values_mut() {
-            smooth(&mut state.offered_rate, f64::from(state.offered) / seconds);
-            smooth(
-                &mut state.admitted_rate,
-                f64::from(state.admitted) / seconds,
-            );
+            let seen = f64::from(state.offered) / seconds;
+            state.offered_rate += RATE_WEIGHT * (seen - state.offered_rate);
             state.offered = 0;
-            state.admitted = 0;
-        }
-        for route in used.keys() {
-            self.usage.entry(*route).or_default();
-        }
-        for (route, busy) in &mut self.usage {
-            smooth(busy, used.get(route).copied().unwrap_or(0.0) / seconds);
         }
-        self.usage.retain(|_, busy| *busy > 1e-4);
     }
 
     /// Deals each quota by the demand that all daemons report.
@@ -150,38 +139,21 @@
     }
 
     /// Deals each class the share that the scarce services can carry.
-    pub fn deal_classes(
-        &mut self,
-        reports: &[(u64, DaemonReport)],
-        own: Option<&EndpointReport>,
-        elapsed: Duration,
-    ) {
+    pub fn deal_classes(&mut self, reports: &[(u64, DaemonReport)], own: Option<&EndpointReport>) {
         let mut fleet = FleetView::default();
         for (_, report) in reports {
-            fleet.add(report.endpoint.as_ref(), &report.classes, &report.usage);
-        }
-        fleet.add(own, &self.class_rates(), &self.usage());
-        let seconds = elapsed.as_secs_f64();
-        self.costs.decay(elapsed);
-        for ((route, service), busy) in &fleet.busy {
-            self.costs.note_busy(*route, *service, busy * seconds);
-        }
-        for (route, admitted) in &fleet.admitted {
-            self.costs.note_admitted(*route, admitted * seconds);
+            fleet.add(report.endpoint.as_ref(), &report.classes);
         }
+        fleet.add(own, &self.class_rates());
         let services: Vec<u32> = fleet.services.keys().copied().collect();
         let supplies: Vec<ServiceSupply> = services
             .iter()
             .map(|service| self.supply(*service, &fleet.services[service]))
             .collect();
         let demands: Vec<ClassDemand> = fleet
-            .offered
+            .classes
             .iter()
-            .map(|(key, offered)| ClassDemand {
-                key: *key,
-                offered: *offered,
-                costs: self.costs.at(key.route, &services),
-            })
+            .map(|(key, view)| view.demand(*key, &services))
             .collect();
         let shares = share_supply(&supplies, &demands);
         for (demand, share) in demands.iter().zip(shares) {
@@ -191,7 +163,7 @@
         }
     }
 
-    /// What this entry is asked for and admits, by class.
+    /// What this entry is asked for and what it costs, by class.
     pub fn class_rates(&self) -> Vec<ClassRate> {
         let live = self
             .classes
@@ -200,7 +172,7 @@
         live.map(|(class, state)| ClassRate {
             class: *class,
             offered: (state.offered_rate * CLASS_SECONDS) as u32,
-            admitted: (state.admitted_rate * CLASS_SECONDS) as u32,
+            costs: self.costs.of(class.route).iter().map(encode_use).collect(),
         })
         .collect()
     }
@@ -217,17 +189,6 @@
             .collect()
     }
 
-    /// What trees of each route use at the endpoint beside this daemon.
-    pub fn usage(&self) -> Vec<RouteUsage> {
-        let usage = self.usage.iter();
-        usage
-            .map(|(route, busy)| RouteUsage {
-                route: *route,
-                busy_ms: (busy * 1000.0) as u32,
-            })
-            .collect()
-    }
-
     fn supply(&mut self, service: u32, view: &ServiceView) -> ServiceSupply {
         let trim = self.trims.entry(service).or_insert_with(SupplyTrim::start);
         trim.observe(view.in_hand / view.slots.max(1.0));
@@ -243,42 +204,67 @@
     in_hand: f64,
 }
 
+/// A class over all entries.
+#[derive(Debug, Default)]
+struct ClassView {
+    offered: f64,
+    /// Slot-seconds by service, summed over the entries that know them, by their demand.
+    cost_sums: HashMap<u32, f64>,
+    known_offered: f64,
+}
+
+impl ClassView {
+    fn add(&mut self, rate: &ClassRate) {
+        let offered = f64::from(rate.offered) / CLASS_SECONDS;
+        self.offered += offered;
+        if rate.costs.is_empty() {
+            return;
+        }
+        self.known_offered += offered;
+        for one in &rate.costs {
+            let seconds = f64::from(one.slot_us) / MICROSECONDS;
+            *self.cost_sums.entry(one.service).or_default() += offered * seconds;
+        }
+    }
+
+    fn demand(&self, key: ClassKey, services: &[u32]) -> ClassDemand {
+        let known = self.known_offered.max(f64::MIN_POSITIVE);
+        let costs = services.iter().enumerate().filter_map(|(index, service)| {
+            let sum = self.cost_sums.get(service)?;
+            Some((index, sum / known))
+        });
+        ClassDemand {
+            key,
+            offered: self.offered,
+            costs: costs.collect(),
+        }
+    }
+}
+
 /// The sum of all reports.
 #[derive(Debug, Default)]
 struct FleetView {
     services: HashMap<u32, ServiceView>,
-    offered: HashMap<ClassKey, f64>,
-    admitted: HashMap<u32, f64>,
-    busy: HashMap<(u32, u32), f64>,
+    classes: HashMap<ClassKey, ClassView>,
 }
 
 impl FleetView {
-    fn add(
-        &mut self,
-        endpoint: Option<&EndpointReport>,
-        classes: &[ClassRate],
-        usage: &[RouteUsage],
-    ) {
+    fn add(&mut self, endpoint: Option<&EndpointReport>, classes: &[ClassRate]) {
         for rate in classes {
-            let offered = f64::from(rate.offered) / CLASS_SECONDS;
-            *self.offered.entry(rate.class).or_default() += offered;
-            let admitted = f64::from(rate.admitted) / CLASS_SECONDS;
-            *self.admitted.entry(rate.class.route).or_default() += admitted;
+            self.classes.entry(rate.class).or_default().add(rate);
         }
-        let Some(endpoint) = endpoint else {
-            return;
-        };
-        let service = hash_name(&endpoint.service);
-        let view = self.services.entry(service).or_default();
-        view.slots += f64::from(endpoint.slots);
-        view.in_hand += f64::from(endpoint.in_hand);
-        for used in usage {
-            let busy = f64::from(used.busy_ms) / 1000.0;
-            *self.busy.entry((used.route, service)).or_default() += busy;
+        if let Some(endpoint) = endpoint {
+            let service = hash_name(&endpoint.service);
+            let view = self.services.entry(service).or_default();
+            view.slots += f64::from(endpoint.slots);
+            view.in_hand += f64::from(endpoint.in_hand);
         }
     }
 }
 
-fn smooth(rate: &mut f64, seen: f64) {
-    *rate += RATE_WEIGHT * (seen - *rate);
+fn encode_use((service, seconds): &(u32, f64)) -> ServiceUse {
+    ServiceUse {
+        service: *service,
+        slot_us: (seconds * MICROSECONDS) as u32,
+    }
 }
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -27,6 +27,7 @@
 use tokio::time::Instant;
 
 use super::super::executor::CallRequest;
+use super::super::executor::EndpointAnswer;
 use super::super::state::MeshState;
 use super::admit::admit;
 use super::admit::AdmittedRequest;
@@ -179,6 +180,7 @@
     let took_ms = arrived.elapsed().as_millis() as u64;
     match outcome {
         PlacedOutcome::Answered(answer) => {
+            note_use(state, admitted, &answer);
             let event = LogEvent::CallPlaced.number();
             let status = answer.status.as_u16();
             let service = &*admitted.service;
@@ -217,6 +219,16 @@
     }
 }
 
+/// What an answered tree used tells its parent's cost, or that of its route where it began.
+fn note_use(state: &MeshState, admitted: &AdmittedRequest, answer: &EndpointAnswer) {
+    if let Some(parent) = admitted.parent {
+        state.executor.add_use(parent, &answer.used);
+    } else if !admitted.origin.nested && answer.status.is_success() {
+        let mut gate = state.gate.borrow_mut();
+        gate.note_tree(admitted.origin.class.route, &answer.used);
+    }
+}
+
 fn refuse(state: &MeshState, headers: &HeaderMap, refused: &RefusedRequest) -> CallerAnswer {
     let event = LogEvent::CallRefused.number();
     let id = head::attempt_id(&state.dialect, headers);
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,12 +19,15 @@
 use tokio::time::Instant;
 
 use super::super::dialect::HeaderDialect;
+use super::super::fleet::hash_name;
 use super::super::link::CallOrigin;
 use super::super::link::RefusalCause;
+use super::super::link::ServiceUse;
 use super::judge::judge_answer;
 use super::judge::AnswerVerdict;
-use super::parents::ParentKey;
+use super::parents::merge_use;
 use super::parents::ParentTable;
+use super::parents::TreeUse;
 use super::pool::connect;
 use super::pool::ConnectionPool;
 use super::pool::EndpointConnection;
@@ -61,6 +63,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Slot time that the call and the calls below it used.
+    pub used: TreeUse,
 }
 
 /// What became of a call.
@@ -83,7 +87,6 @@
     slots: Rc<SlotQueue>,
     pool: ConnectionPool,
     parents: RefCell<ParentTable>,
-    usage: RefCell<HashMap<u32, f64>>,
     stopping: Cell<bool>,
 }
 
@@ -98,7 +101,6 @@
             slots: SlotQueue::start(),
             pool: ConnectionPool::default(),
             parents: RefCell::new(ParentTable::default()),
-            usage: RefCell::new(HashMap::new()),
             stopping: Cell::new(false),
         }
     }
@@ -156,13 +158,13 @@
     }
 
     /// The request that a call of the endpoint with this deadline belongs to.
-    pub fn find_parent(&self, deadline: Instant, attempt: &str) -> Option<CallOrigin> {
-        self.parents.borrow_mut().find(deadline, attempt)
+    pub fn find_parent(&self, deadline: Instant, attempt: &str) -> Option<(u64, CallOrigin)> {
+        self.parents.borrow().find(deadline, attempt)
     }
 
-    /// Slot-seconds used by trees of each route since the last call.
-    pub fn take_usage(&self) -> HashMap<u32, f64> {
-        std::mem::take(&mut *self.usage.borrow_mut())
+    /// Adds what a call of a request that runs here used.
+    pub fn add_use(&self, parent: u64, used: &TreeUse) {
+        self.parents.borrow_mut().add_use(parent, used);
     }
 
     /// Runs a call; `handed` is set before its first byte can reach the endpoint.
@@ -175,19 +177,23 @@
         }
         let left = call.deadline.saturating_duration_since(Instant::now());
         let patience = call.patience.min(left);
-        let enters = !call.origin.nested;
-        let waited = self.slots.acquire(enters, call.origin.class.rank, patience);
+        let waited = self.slots.acquire(call.origin.class.rank, patience);
         let Some(permit) = waited.await else {
             return CallOutcome::Refused(self.refusal(&call.service));
         };
         let begun = Instant::now();
-        let outcome = self.hand_over(call, handed).await;
+        let mut outcome = self.hand_over(call, handed).await;
         let held = begun.elapsed();
         drop(permit);
         if handed.get() {
             self.slots.note_run(held);
-            let mut usage = self.usage.borrow_mut();
-            *usage.entry(call.origin.class.route).or_default() += held.as_secs_f64();
+        }
+        if let CallOutcome::Answered(answer) = &mut outcome {
+            let own = ServiceUse {
+                service: hash_name(&call.service),
+                slot_us: held.as_micros() as u32,
+            };
+            merge_use(&mut answer.used, &[own]);
         }
         outcome
     }
@@ -228,11 +234,11 @@
         handed.set(true);
         let attempt = self.attempt(call);
         let mut parents = self.parents.borrow_mut();
-        let key = parents.add(call.deadline, attempt, call.origin);
+        let number = parents.add(call.deadline, attempt, call.origin);
         drop(parents);
-        let _guard = ParentGuard {
+        let guard = ParentGuard {
             parents: &self.parents,
-            key,
+            number,
         };
         let sent = connection.sender.try_send_request(request);
         let response = match timeout_at(until, sent).await {
@@ -250,7 +256,11 @@
                 return Some(CallOutcome::Unknown);
             }
         };
-        Some(self.take_answer(call, connection, response, until).await)
+        let mut outcome = self.take_answer(call, connection, response, until).await;
+        if let CallOutcome::Answered(answer) = &mut outcome {
+            answer.used = guard.close();
+        }
+        Some(outcome)
     }
 
     async fn take_answer(
@@ -286,6 +296,7 @@
                 status: head.status,
                 headers: head.headers,
                 body,
+                used: TreeUse::new(),
             }),
         }
     }
@@ -370,11 +381,18 @@
 
 struct ParentGuard<'a> {
     parents: &'a RefCell<ParentTable>,
-    key: ParentKey,
+    number: u64,
+}
+
+impl ParentGuard<'_> {
+    /// Ends the request and returns what its calls used.
+    fn close(self) -> TreeUse {
+        self.parents.borrow_mut().remove(self.number)
+    }
 }
 
 impl Drop for ParentGuard<'_> {
     fn drop(&mut self) {
-        self.parents.borrow_mut().remove(&self.key);
+        self.parents.borrow_mut().remove(self.number);
     }
 }
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -1,90 +1,106 @@
-//! Which request at the endpoint a call of the endpoint belongs to.
+//! Which request at the endpoint a call of the endpoint belongs to, and what its tree has used.
 //!
-//! A call carries its parent's deadline and nothing else that is promised. Where the requests that
-//! run here and end at that moment are all of one class, it is one of them. At a busy endpoint
-//! several classes end within the same milliseconds; then an identity that begins with that of a
-//! request running here decides, and without one the nearest deadline among the classes that were
-//! seen to call. What is learned serves admission only, so a wrong match harms no promise.
+//! Where the identity of a call extends that of a request that runs here, that request is the
+//! parent. Nothing promises such identities; without them the parent is the request with the
+//! nearest deadline, since a call carries its parent's. What is learned serves admission only, so a
+//! wrong match harms no promise.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::super::link::CallOrigin;
-use crate::decisions::roots::ClassKey;
+use super::super::link::ServiceUse;
 
 /// Deadlines differ by the rounding to milliseconds and the time on the way.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(40);
-/// Separates the identity of a request from what a call of its tree adds.
-const TREE_SEPARATOR: char = '.';
+/// Separates the identity of a request from what a call adds.
+const CALL_SEPARATOR: char = '.';
+
+/// Slot time at each service.
+pub type TreeUse = SmallVec<[ServiceUse; 4]>;
+
+#[derive(Debug)]
+struct ParentRecord {
+    origin: CallOrigin,
+    deadline: Instant,
+    attempt: Box<str>,
+    used: TreeUse,
+}
 
 /// The requests that the endpoint runs.
 #[derive(Debug, Default)]
 pub struct ParentTable {
-    running: BTreeMap<(Instant, u64), CallOrigin>,
-    trees: HashMap<Box<str>, (u32, CallOrigin)>,
-    callers: HashSet<ClassKey>,
+    running: HashMap<u64, ParentRecord>,
+    by_deadline: BTreeMap<(Instant, u64), ()>,
+    by_attempt: HashMap<Box<str>, u64>,
     sequence: u64,
 }
 
-/// Removes a request that has ended.
-#[derive(Debug)]
-pub struct ParentKey {
-    place: (Instant, u64),
-    tree: Box<str>,
-}
-
 impl ParentTable {
-    /// Adds a request and returns what removes it.
-    pub fn add(&mut self, deadline: Instant, attempt: &str, origin: CallOrigin) -> ParentKey {
+    /// Adds a request and returns its number.
+    pub fn add(&mut self, deadline: Instant, attempt: &str, origin: CallOrigin) -> u64 {
         self.sequence += 1;
-        let place = (deadline, self.sequence);
-        self.running.insert(place, origin);
-        let tree: Box<str> = tree_id(attempt).into();
-        self.trees.entry(tree.clone()).or_insert((0, origin)).0 += 1;
-        ParentKey { place, tree }
+        let number = self.sequence;
+        let record = ParentRecord {
+            origin,
+            deadline,
+            attempt: attempt.into(),
+            used: TreeUse::new(),
+        };
+        self.by_attempt.insert(record.attempt.clone(), number);
+        self.by_deadline.insert((deadline, number), ());
+        self.running.insert(number, record);
+        number
     }
 
-    /// Removes a request that has ended.
-    pub fn remove(&mut self, key: &ParentKey) {
-        self.running.remove(&key.place);
-        if let Some((count, _)) = self.trees.get_mut(&key.tree) {
-            *count -= 1;
-            if *count == 0 {
-                self.trees.remove(&key.tree);
-            }
-        }
+    /// Removes a request that has ended and returns what its calls used.
+    pub fn remove(&mut self, number: u64) -> TreeUse {
+        let Some(record) = self.running.remove(&number) else {
+            return TreeUse::new();
+        };
+        self.by_deadline.remove(&(record.deadline, number));
+        self.by_attempt.remove(&record.attempt);
+        record.used
     }
 
     /// The request that a call with this deadline and identity belongs to, if one is likely.
-    pub fn find(&mut self, deadline: Instant, attempt: &str) -> Option<CallOrigin> {
-        let from = (deadline - DEADLINE_TOLERANCE, 0);
-        let to = (deadline + DEADLINE_TOLERANCE, u64::MAX);
-        let mut nearest: Option<(Duration, CallOrigin)> = None;
-        let mut classes: Option<ClassKey> = None;
-        let mut alone = true;
-        for ((at, _), origin) in self.running.range(from..=to) {
-            alone &= *classes.get_or_insert(origin.class) == origin.class;
-            let gap = distance(*at, deadline);
-            let calls = self.callers.is_empty() || self.callers.contains(&origin.class);
-            if calls && nearest.is_none_or(|(least, _)| gap < least) {
-                nearest = Some((gap, *origin));
-            }
-        }
-        let named = self.trees.get(tree_id(attempt)).map(|(_, origin)| *origin);
-        let found = named.or(nearest.map(|(_, origin)| origin));
-        if let Some(origin) = found.filter(|_| alone || named.is_some()) {
-            self.callers.insert(origin.class);
+    pub fn find(&self, deadline: Instant, attempt: &str) -> Option<(u64, CallOrigin)> {
+        let named = attempt.rsplit_once(CALL_SEPARATOR);
+        let named = named.and_then(|(parent, _)| self.by_attempt.get(parent).copied());
+        let number = named.or_else(|| self.nearest(deadline))?;
+        Some((number, self.running.get(&number)?.origin))
+    }
+
+    /// Adds what a call of a running request used.
+    pub fn add_use(&mut self, number: u64, used: &[ServiceUse]) {
+        if let Some(record) = self.running.get_mut(&number) {
+            merge_use(&mut record.used, used);
         }
-        found
+    }
+
+    fn nearest(&self, deadline: Instant) -> Option<u64> {
+        let after = self.by_deadline.range((deadline, 0)..).next();
+        let before = self.by_deadline.range(..(deadline, 0)).next_back();
+        let near = [before, after].into_iter().flatten();
+        near.map(|((at, number), ())| (distance(*at, deadline), *number))
+            .filter(|(gap, _)| *gap <= DEADLINE_TOLERANCE)
+            .min_by_key(|(gap, _)| *gap)
+            .map(|(_, number)| number)
     }
 }
 
-fn tree_id(attempt: &str) -> &str {
-    attempt.split(TREE_SEPARATOR).next().unwrap_or(attempt)
+/// Adds slot times, service by service.
+pub fn merge_use(total: &mut TreeUse, used: &[ServiceUse]) {
+    for one in used {
+        match total.iter_mut().find(|sum| sum.service == one.service) {
+            Some(sum) => sum.slot_us = sum.slot_us.saturating_add(one.slot_us),
+            None => total.push(*one),
+        }
+    }
 }
 
 fn distance(one: Instant, two: Instant) -> Duration {
--- a/src/mesh/executor/slots.rs
+++ b/src/mesh/executor/slots.rs
@@ -1,7 +1,7 @@
 //! The slots of an endpoint and the line of calls that wait for one.
 //!
-//! The line is held here and not at the endpoint, so that calls of admitted requests go before new
-//! requests, and a call that leaves or whose endpoint drains has never reached it.
+//! The line is held here and not at the endpoint, so that calls go by the rank of the request at the
+//! top of their graph, and a call that leaves or whose endpoint drains has never reached it.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,8 +17,6 @@
 /// Place in the line; lower goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct LinePlace {
-    /// Requests that enter the call graph here wait behind calls of requests already admitted.
-    enters: bool,
     rank: u8,
     sequence: u64,
 }
@@ -95,12 +93,7 @@
     }
 
     /// Waits for a slot; none if the wait would exceed `patience` or the line was turned away.
-    pub async fn acquire(
-        self: &Rc<Self>,
-        enters: bool,
-        rank: u8,
-        patience: Duration,
-    ) -> Option<SlotPermit> {
+    pub async fn acquire(self: &Rc<Self>, rank: u8, patience: Duration) -> Option<SlotPermit> {
         let (place, granted) = {
             let mut state = self.state.borrow_mut();
             if state.running < state.limit {
@@ -112,7 +105,6 @@
             }
             state.sequence += 1;
             let place = LinePlace {
-                enters,
                 rank,
                 sequence: state.sequence,
             };
--- a/src/mesh/fleet/mod.rs
+++ b/src/mesh/fleet/mod.rs
@@ -16,6 +16,5 @@
 pub use report::DaemonReport;
 pub use report::EndpointReport;
 pub use report::OrganisationDemand;
-pub use report::RouteUsage;
 pub use route_table::hash_name;
 pub use route_table::RouteTable;
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -2,7 +2,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 
+use super::super::link::ServiceUse;
 use crate::decisions::roots::ClassKey;
 
 /// A daemon's own state, demand and use; see `docs/design/platform.md`.
@@ -16,7 +18,6 @@
     pub endpoint: Option<EndpointReport>,
     pub organisations: Vec<OrganisationDemand>,
     pub classes: Vec<ClassRate>,
-    pub usage: Vec<RouteUsage>,
 }
 
 /// The endpoint beside the daemon, present while it may get new work.
@@ -45,12 +46,6 @@
 pub struct ClassRate {
     pub class: ClassKey,
     pub offered: u32,
-    pub admitted: u32,
-}
-
-/// Slot-milliseconds a second that trees of a route use at the endpoint beside the daemon.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RouteUsage {
-    pub route: u32,
-    pub busy_ms: u32,
+    /// What a whole tree uses, as this entry has seen it.
+    pub costs: SmallVec<[ServiceUse; 4]>,
 }
--- a/src/mesh/link/frame.rs
+++ b/src/mesh/link/frame.rs
@@ -8,6 +8,7 @@
 use hyper::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use super::super::fleet::DaemonReport;
 use crate::decisions::roots::ClassKey;
@@ -59,6 +60,14 @@
     pub known: Vec<SocketAddrV4>,
 }
 
+/// Slot time that a call and the calls below it used at one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceUse {
+    /// Hash of the service's name.
+    pub service: u32,
+    pub slot_us: u32,
+}
+
 /// The head of a call; the request's body follows.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct SubmitHead<'a> {
@@ -82,6 +91,7 @@
     pub status: u16,
     #[serde(borrow)]
     pub headers: HeaderPairs<'a>,
+    pub used: SmallVec<[ServiceUse; 4]>,
     pub in_hand: u32,
 }
 
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -269,7 +269,6 @@
             endpoint: self.endpoint_report(),
             organisations: gate.organisation_demand(),
             classes: gate.class_rates(),
-            usage: gate.usage(),
         }
     }
 
