--- a/src/decisions/roots/costs.rs
+++ b/src/decisions/roots/costs.rs
@@ -1,7 +1,8 @@
 //! What the whole tree of a route's request costs at each service.
 //!
 //! Learned from the trees of requests that were answered: those that failed stopped half-way and
-//! would make a collapse look cheap.
+//! would make a collapse look cheap. Until enough were answered, as after a restart of the whole
+//! fleet into full load, twice what failed trees used stands in for it.
 
 use std::collections::HashMap;
 
@@ -12,12 +13,23 @@
 /// Costs below this, in slot-seconds, don't count.
 const MIN_COST: f64 = 0.002;
 
+/// Answered trees from which their mean is trusted alone.
+const ENOUGH_TREES: u32 = 8;
+/// A tree that fails has used about half of what it would have.
+const FAILED_FACTOR: f64 = 2.0;
+
 #[derive(Debug, Default)]
-struct RouteCosts {
+struct MeanUse {
     trees: u32,
     mean: HashMap<u32, f64>,
 }
 
+#[derive(Debug, Default)]
+struct RouteCosts {
+    answered: MeanUse,
+    failed: MeanUse,
+}
+
 /// Smoothed slot-seconds of each route's trees at each service.
 #[derive(Debug, Default)]
 pub struct TreeCosts {
@@ -25,27 +37,45 @@
 }
 
 impl TreeCosts {
-    /// Takes the slot-seconds that one whole tree used, by service.
-    pub fn note_tree(&mut self, route: u32, used: impl Iterator<Item = (u32, f64)>) {
+    /// Takes the slot-seconds that one tree used, by service, and whether it was answered well.
+    pub fn note_tree(
+        &mut self,
+        route: u32,
+        answered: bool,
+        used: impl Iterator<Item = (u32, f64)>,
+    ) {
         let costs = self.routes.entry(route).or_default();
-        costs.trees = costs.trees.saturating_add(1);
-        let weight = TREE_WEIGHT.max(1.0 / f64::from(costs.trees));
-        costs
-            .mean
-            .values_mut()
-            .for_each(|mean| *mean *= 1.0 - weight);
-        for (service, seconds) in used {
-            *costs.mean.entry(service).or_default() += weight * seconds;
+        if answered {
+            costs.answered.note(used);
+        } else {
+            costs.failed.note(used);
         }
     }
 
     /// What is known of a route: pairs of a service and slot-seconds.
     pub fn of(&self, route: u32) -> SmallVec<[(u32, f64); 4]> {
-        let costs = self.routes.get(&route).into_iter();
-        costs
-            .flat_map(|one| one.mean.iter())
-            .filter(|(_, cost)| **cost >= MIN_COST)
-            .map(|(service, cost)| (*service, *cost))
-            .collect()
+        let Some(costs) = self.routes.get(&route) else {
+            return SmallVec::new();
+        };
+        let mut means = costs.answered.mean.clone();
+        if costs.answered.trees < ENOUGH_TREES {
+            for (service, used) in &costs.failed.mean {
+                let mean = means.entry(*service).or_default();
+                *mean = mean.max(used * FAILED_FACTOR);
+            }
+        }
+        means.retain(|_, cost| *cost >= MIN_COST);
+        means.into_iter().collect()
+    }
+}
+
+impl MeanUse {
+    fn note(&mut self, used: impl Iterator<Item = (u32, f64)>) {
+        self.trees = self.trees.saturating_add(1);
+        let weight = TREE_WEIGHT.max(1.0 / f64::from(self.trees));
+        self.mean.values_mut().for_each(|mean| *mean *= 1.0 - weight);
+        for (service, seconds) in used {
+            *self.mean.entry(service).or_default() += weight * seconds;
+        }
     }
 }
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -20,6 +20,7 @@
 use crate::decisions::roots::ServiceSupply;
 use crate::decisions::roots::SupplyTrim;
 use crate::decisions::roots::TreeCosts;
+use crate::observe::LogEvent;
 
 /// Smoothing of rates over a deal; a second or so of memory follows a burst closely enough.
 const RATE_WEIGHT: f64 = 0.25;
@@ -28,6 +29,10 @@
 /// Rates travel as whole numbers of requests in this many seconds.
 const CLASS_SECONDS: f64 = 100.0;
 const MICROSECONDS: f64 = 1e6;
+/// Shares above this refuse nobody.
+const WHOLE_SHARE: f64 = 0.999;
+/// Deals between two log lines about them.
+const DEALS_PER_LINE: u32 = 4;
 
 #[derive(Debug)]
 struct ClassState {
@@ -57,6 +62,7 @@
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
     repeats: HashMap<u32, RepeatBudget>,
+    deals: u32,
 }
 
 impl EntryGate {
@@ -99,11 +105,11 @@
         self.repeats(service).spend(rule, daemons, now)
     }
 
-    /// Takes what the whole tree of an answered request used.
-    pub fn note_tree(&mut self, route: u32, used: &[ServiceUse]) {
+    /// Takes what the tree of a request used, and whether it was answered well.
+    pub fn note_tree(&mut self, route: u32, answered: bool, used: &[ServiceUse]) {
         let pairs = used.iter();
         let pairs = pairs.map(|one| (one.service, f64::from(one.slot_us) / MICROSECONDS));
-        self.costs.note_tree(route, pairs);
+        self.costs.note_tree(route, answered, pairs);
     }
 
     /// Smooths what this daemon saw since the last deal.
@@ -156,6 +162,7 @@
             .map(|(key, view)| view.demand(*key, &services))
             .collect();
         let shares = share_supply(&supplies, &demands);
+        self.log_deal(&services, &fleet, &supplies, &demands, &shares);
         for (demand, share) in demands.iter().zip(shares) {
             if let Some(state) = self.classes.get_mut(&demand.key) {
                 state.share = share;
@@ -163,6 +170,34 @@
         }
     }
 
+    /// Says once a second what the shares were dealt from, while not all requests may enter.
+    fn log_deal(
+        &mut self,
+        services: &[u32],
+        fleet: &FleetView,
+        supplies: &[ServiceSupply],
+        demands: &[ClassDemand],
+        shares: &[f64],
+    ) {
+        self.deals += 1;
+        let whole = shares.iter().all(|share| *share >= WHOLE_SHARE);
+        if whole || !self.deals.is_multiple_of(DEALS_PER_LINE) {
+            return;
+        }
+        let event = LogEvent::SharesDealt.number();
+        for (index, service) in services.iter().enumerate() {
+            let view = &fleet.services[service];
+            let (slots, in_hand) = (view.slots, view.in_hand);
+            let supply = supplies[index].capacity;
+            tracing::warn!(event, service, slots, in_hand, supply, "supply");
+        }
+        for (demand, share) in demands.iter().zip(shares) {
+            let ClassKey { rank, route } = demand.key;
+            let (offered, costs) = (demand.offered, &demand.costs);
+            tracing::warn!(event, route, rank, offered, share, ?costs, "share");
+        }
+    }
+
     /// What this entry is asked for and what it costs, by class.
     pub fn class_rates(&self) -> Vec<ClassRate> {
         let live = self
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -223,9 +223,10 @@
 fn note_use(state: &MeshState, admitted: &AdmittedRequest, answer: &EndpointAnswer) {
     if let Some(parent) = admitted.parent {
         state.executor.add_use(parent, &answer.used);
-    } else if !admitted.origin.nested && answer.status.is_success() {
+    } else if !admitted.origin.nested {
+        let route = admitted.origin.class.route;
         let mut gate = state.gate.borrow_mut();
-        gate.note_tree(admitted.origin.class.route, &answer.used);
+        gate.note_tree(route, answer.status.is_success(), &answer.used);
     }
 }
 
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -41,6 +41,7 @@
     WorkQueued = 2102, "The executor queues a call.";
     WorkRefused = 2103, "The executor refuses a call.";
     WorkJoined = 2104, "A repeat was answered from the journal or joined the run under way.";
+    SharesDealt = 2301, "Not all requests may enter; the line says what a share was dealt from.";
     ConnectionSilent = 2201, "A connection gave no answer and was retired with its elders.";
     CallerBroken = 2202, "A connection of a caller broke or sent what is not HTTP.";
     LogUnreadable = 3001, "The platform's log can't be read; the daemon goes on with what it holds.";
