Lower the floor of a class to 0.18 of its attempts

Cause: under heavy load the floors alone took the whole supply, so rank decided nothing. A refused request comes back once, so a floor of 0.18 of attempts serves about a third of requests.

--- a/src/decisions/roots/allocation.rs
+++ b/src/decisions/roots/allocation.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 
 /// Share of a class that enters before any class gets more, while the supply lasts.
-const CLASS_FLOOR: f64 = 0.3;
+const CLASS_FLOOR: f64 = 0.18;
 
 /// Requests of one route at one rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
