Answer the work in hand of a scarce service promptly, beside the slow trim

Cause: work in hand of scheduling swung between 4 and 84 of 34 slots while shares stayed the same, so slots stood empty and queues formed in turn.

--- a/src/decisions/roots/trim.rs
+++ b/src/decisions/roots/trim.rs
@@ -12,6 +12,9 @@
 /// Largest changes with one report: use follows admission by about a second.
 const MAX_RAISE: f64 = 0.03;
 const MAX_CUT: f64 = 0.12;
+/// Prompt answer to the work in hand, beside the slow one.
+const PROMPT_GAIN: f64 = 0.4;
+const MAX_LEAN: f64 = 0.4;
 const MIN_TRIM: f64 = 0.2;
 const MAX_TRIM: f64 = 1.15;
 
@@ -40,6 +43,7 @@
 
     /// What the slots are multiplied by.
     pub fn factor(&self) -> f64 {
-        self.factor
+        let lean = (PROMPT_GAIN * (FULL - self.occupancy)).clamp(-MAX_LEAN, MAX_LEAN);
+        self.factor * (1.0 + lean)
     }
 }
