Let the prompt answer lean by up to 0.6 and the trim rise to 1.4

The announced slots understate what faturacao finishes, since calls wait in line while slots change hands.

--- a/src/decisions/roots/trim.rs
+++ b/src/decisions/roots/trim.rs
@@ -13,10 +13,10 @@
 const MAX_RAISE: f64 = 0.03;
 const MAX_CUT: f64 = 0.12;
 /// Prompt answer to the work in hand, beside the slow one.
-const PROMPT_GAIN: f64 = 0.4;
-const MAX_LEAN: f64 = 0.4;
+const PROMPT_GAIN: f64 = 0.9;
+const MAX_LEAN: f64 = 0.6;
 const MIN_TRIM: f64 = 0.2;
-const MAX_TRIM: f64 = 1.15;
+const MAX_TRIM: f64 = 1.4;
 
 /// A factor on the slots of one service.
 #[derive(Debug, Clone, Copy)]
