Follow a request through logs with 'explain'; serve metrics; say route, executor and inputs

Issue: on-call engineers have only logs and metrics. The entry's line now names the route, the executor asked last, how many were asked, the version in force and the age of its proof. 'marigoldhatch explain ID [LOG...]' prints a request's lines in order with the beliefs of its time; metrics have valid names, buckets and the state of the daemon.

--- a/src/mesh/control/mod.rs
+++ b/src/mesh/control/mod.rs
@@ -1,6 +1,7 @@
 //! Keeping a daemon's knowledge current: links to the other daemons, and the shares of its gate.
 
 mod announcements;
+mod metrics;
 mod peer_link;
 mod tick;
 
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -32,6 +32,7 @@
     pub service: Rc<str>,
     pub idempotent: bool,
     pub organisation: Option<String>,
+    pub route: String,
     pub origin: CallOrigin,
     /// The request at the endpoint on this VM that made this call.
     pub parent: Option<u64>,
@@ -104,6 +105,7 @@
         service: part.service.clone(),
         idempotent: route.idempotent,
         organisation: organisation.map(|one| one.name.clone()),
+        route: route.name.clone(),
         origin,
         parent,
         deadline: arrived + time,
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -79,6 +79,12 @@
         true
     }
 
+    /// The share of each class, for metrics.
+    pub fn shares(&self) -> impl Iterator<Item = (ClassKey, f64)> + '_ {
+        let classes = self.classes.iter();
+        classes.map(|(class, state)| (*class, state.share))
+    }
+
     /// The share that was dealt to a class, for log lines.
     pub fn class_share(&self, class: ClassKey) -> f64 {
         self.classes.get(&class).map_or(1.0, |state| state.share)
--- a/src/mesh/entry/place.rs
+++ b/src/mesh/entry/place.rs
@@ -23,9 +23,11 @@
 
 /// The end of a request.
 #[derive(Debug)]
-pub enum PlacedOutcome {
-    Answered(EndpointAnswer),
-    Failed(ResultCode),
+pub struct PlacedOutcome {
+    pub result: Result<EndpointAnswer, ResultCode>,
+    /// The executor that was asked last, and how many were asked.
+    pub executor: Option<SocketAddrV4>,
+    pub asked: usize,
 }
 
 enum ExecutorPlace {
@@ -41,12 +43,25 @@
     id: &str,
 ) -> PlacedOutcome {
     let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
+    let result = try_executors(state, request, max_attempts, id, &mut tried).await;
+    PlacedOutcome {
+        result,
+        executor: tried.last().copied(),
+        asked: tried.len(),
+    }
+}
+
+async fn try_executors(
+    state: &MeshState,
+    request: &mut CallRequest,
+    max_attempts: u32,
+    id: &str,
+    tried: &mut SmallVec<[SocketAddrV4; 4]>,
+) -> Result<EndpointAnswer, ResultCode> {
     let mut arrivals = 0;
     let mut code = ResultCode::NoEndpoint;
     while tried.len() < MOST_EXECUTORS {
-        let Some((address, target)) = choose(state, &request.service, &tried) else {
-            return PlacedOutcome::Failed(code);
-        };
+        let (address, target) = choose(state, &request.service, tried).ok_or(code)?;
         if tried.is_empty() {
             count_first(state, request);
         }
@@ -56,9 +71,7 @@
             ExecutorPlace::Other(peer) => peer.submit(state.next_call(), request).await,
         };
         let may_have_run = match reply {
-            PeerReply::Outcome(CallOutcome::Answered(answer)) => {
-                return PlacedOutcome::Answered(answer)
-            }
+            PeerReply::Outcome(CallOutcome::Answered(answer)) => return Ok(answer),
             PeerReply::Outcome(CallOutcome::Refused(cause)) => {
                 code = refusal_code(cause);
                 if !cause.reached_endpoint() {
@@ -76,19 +89,13 @@
             && arrivals < max_attempts
             && spend_repeat(state, &request.service);
         if !again {
-            return PlacedOutcome::Failed(code);
+            return Err(code);
         }
         request.origin.repeat |= may_have_run;
         let event = LogEvent::CallRetried.number();
-        tracing::warn!(
-            event,
-            id,
-            ?code,
-            arrivals,
-            "the request goes to another endpoint"
-        );
+        tracing::warn!(event, id, ?code, arrivals, executor = %address, "the request goes to another endpoint");
     }
-    PlacedOutcome::Failed(code)
+    Err(code)
 }
 
 /// Calls of a run that was itself a repeat count as repeats, whatever the budget says.
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -176,46 +176,78 @@
     let id = head::attempt_id(&state.dialect, &call.headers).to_owned();
     let until = admitted.deadline + OUTCOME_GRACE;
     let placed = timeout_at(until, place(state, call, admitted.max_attempts, &id)).await;
-    let outcome = placed.unwrap_or(PlacedOutcome::Failed(ResultCode::DeadlinePassed));
-    let took_ms = arrived.elapsed().as_millis() as u64;
-    match outcome {
-        PlacedOutcome::Answered(answer) => {
+    let placed = placed.unwrap_or(PlacedOutcome {
+        result: Err(ResultCode::DeadlinePassed),
+        executor: None,
+        asked: 1,
+    });
+    let took = arrived.elapsed();
+    note_end(state, admitted, &placed, &id, took);
+    match placed.result {
+        Ok(answer) => {
             note_use(state, admitted, &answer);
-            let event = LogEvent::CallPlaced.number();
-            let status = answer.status.as_u16();
-            let service = &*admitted.service;
-            tracing::info!(
-                event,
-                id,
-                service,
-                status,
-                took_ms,
-                nested = admitted.origin.nested,
-                "answered"
-            );
             let mut response = Response::new(Full::new(answer.body));
             *response.status_mut() = answer.status;
             *response.headers_mut() = answer.headers;
             head::clean_answer(response.headers_mut());
             response
         }
-        PlacedOutcome::Failed(code) => {
+        Err(code) => {
             let left = admitted.deadline.saturating_duration_since(Instant::now());
             let latest = (admitted.latency_target / 2).min(left / 3);
             let part = state.rng.borrow_mut().random_range(0.4..1.0);
+            own_answer(code, Some(latest.mul_f64(part)))
+        }
+    }
+}
+
+/// Says how a request ended, and counts it if it began here.
+fn note_end(
+    state: &MeshState,
+    admitted: &AdmittedRequest,
+    placed: &PlacedOutcome,
+    id: &str,
+    took: Duration,
+) {
+    let (route, service) = (admitted.route.as_str(), &*admitted.service);
+    let nested = admitted.origin.nested;
+    let organisation = admitted.organisation.as_deref().unwrap_or("");
+    let executor = placed.executor.map(|one| one.to_string());
+    let asked = placed.asked;
+    let took_ms = took.as_millis() as u64;
+    let code = match &placed.result {
+        Ok(answer) => {
+            let event = LogEvent::CallPlaced.number();
+            let status = answer.status.as_u16();
+            tracing::info!(
+                event, id, route, service, executor, asked, status, took_ms, nested, "answered"
+            );
+            ResultCode::Done
+        }
+        Err(code) => {
             let event = LogEvent::CallRefused.number();
+            let config = state.config_version();
+            let proof_ms = state.proof_age().map(|age| age.as_millis() as u64);
             tracing::warn!(
                 event,
                 id,
-                service = &*admitted.service,
                 ?code,
+                route,
+                organisation,
+                service,
+                executor,
+                asked,
                 took_ms,
-                nested = admitted.origin.nested,
-                config = state.config_version(),
+                nested,
+                config,
+                proof_ms,
                 "failed"
             );
-            own_answer(code, Some(latest.mul_f64(part)))
+            *code
         }
+    };
+    if !nested {
+        state.metrics.request(organisation, route, code, took);
     }
 }
 
@@ -253,6 +285,8 @@
         proof_ms,
         "refused"
     );
+    let elapsed = Duration::ZERO;
+    state.metrics.request(organisation, route, *code, elapsed);
     own_answer(refused.code, refused.retry_after)
 }
 
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -27,6 +27,7 @@
 use super::link::LinkSender;
 use super::settings::MeshSettings;
 use crate::clock::boot_now;
+use crate::observe::FleetMetrics;
 use crate::observe::LogEvent;
 
 /// Reads a configuration as the platform keeps it.
@@ -40,6 +41,7 @@
     pub calls: RefCell<CallTable>,
     pub gate: RefCell<EntryGate>,
     pub rng: RefCell<SmallRng>,
+    pub metrics: FleetMetrics,
     started: Instant,
     incarnation: u64,
     next_call: Cell<u64>,
@@ -71,6 +73,7 @@
             calls: RefCell::new(CallTable::default()),
             gate: RefCell::new(EntryGate::default()),
             rng: RefCell::new(rng),
+            metrics: FleetMetrics::start(),
             started: Instant::now(),
             incarnation,
             next_call: Cell::new(1),
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -149,12 +149,36 @@
                     &count,
                 );
                 render_point(text, &format!("{name}.sum"), labels.iter().copied(), &sum);
+                render_buckets(text, name, point.bounds(), point.bucket_counts(), &labels);
             }
         }
         _ => {}
     }
 }
 
+/// Buckets count all points up to their bound, as the text format has it.
+fn render_buckets(
+    text: &mut String,
+    name: &str,
+    bounds: impl Iterator<Item = f64>,
+    counts: impl Iterator<Item = u64>,
+    labels: &[&KeyValue],
+) {
+    let mut total = 0;
+    let bounds = bounds.chain(std::iter::once(f64::INFINITY));
+    for (bound, count) in bounds.zip(counts) {
+        total += count;
+        let bound = if bound.is_finite() {
+            bound.to_string()
+        } else {
+            "+Inf".to_owned()
+        };
+        let bound = KeyValue::new("le", bound);
+        let labels = labels.iter().copied().chain(std::iter::once(&bound));
+        render_point(text, &format!("{name}.bucket"), labels, &total.to_string());
+    }
+}
+
 fn render_point<'a>(
     text: &mut String,
     name: &str,
@@ -164,6 +188,7 @@
     let labels: Vec<String> = labels
         .map(|label| format!("{}=\"{}\"", label.key, label.value))
         .collect();
-    // Writing to a string can't fail.
+    // The text format allows no dots in names. Writing to a string can't fail.
+    let name = name.replace('.', "_");
     let _ = writeln!(text, "{name}{{{}}} {value}", labels.join(","));
 }
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -5,6 +5,7 @@
 #[cfg(feature = "product")]
 mod logs;
 mod metrics;
+mod story;
 
 pub use event::LogEvent;
 pub use line_buffer::start_lines;
@@ -14,3 +15,6 @@
 #[cfg(feature = "product")]
 pub use logs::LogGuard;
 pub use metrics::FleetMetrics;
+pub use story::tell_story;
+pub use story::RequestStory;
+pub use story::StoryStep;
--- a/src/operator/arguments.rs
+++ b/src/operator/arguments.rs
@@ -76,6 +76,13 @@
         #[command(flatten)]
         log: LogArguments,
     },
+    /// Follow one request through the logs of many daemons.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// Logs of daemons; standard input if there are none.
+        logs: Vec<PathBuf>,
+    },
     /// Print the table of result codes.
     Codes,
     /// Print the catalogue of log events.
--- /dev/null
+++ b/src/operator/explain.rs
@@ -0,0 +1,101 @@
+//! Follows one request through the logs of many daemons.
+
+use std::io::Read;
+use std::path::PathBuf;
+
+use serde_json::json;
+
+use super::error::OperatorError;
+use crate::observe::tell_story;
+use crate::observe::LogEvent;
+use crate::observe::RequestStory;
+use crate::observe::StoryStep;
+
+/// Prints the story of a request from files, or from standard input if there are none.
+///
+/// # Errors
+///
+/// A file can't be read, or no line is about the request.
+pub fn explain(id: &str, paths: &[PathBuf], json: bool) -> Result<(), OperatorError> {
+    let logs = read_logs(paths)?;
+    let lines = logs
+        .iter()
+        .flat_map(|(name, text)| text.lines().map(move |line| (name.as_str(), line)));
+    let story = tell_story(id, lines);
+    if story.steps.is_empty() {
+        let what = format!(
+            "no line is about request {id}; {} lines can't be read",
+            story.unread
+        );
+        return Err(OperatorError::NotFound { what });
+    }
+    if json {
+        print_json(&story);
+    } else {
+        print_text(&story);
+    }
+    Ok(())
+}
+
+fn read_logs(paths: &[PathBuf]) -> Result<Vec<(String, String)>, OperatorError> {
+    let unreadable = |path: String, error: std::io::Error| OperatorError::NotFound {
+        what: format!("{path}: {error}"),
+    };
+    let mut logs = Vec::new();
+    for path in paths {
+        let name = path.display().to_string();
+        // A log that was cut in the middle of a character is still a log.
+        let bytes = std::fs::read(path).map_err(|error| unreadable(name.clone(), error))?;
+        logs.push((name, String::from_utf8_lossy(&bytes).into_owned()));
+    }
+    if paths.is_empty() {
+        let mut bytes = Vec::new();
+        let read = std::io::stdin().read_to_end(&mut bytes);
+        read.map_err(|error| unreadable("standard input".to_owned(), error))?;
+        logs.push((
+            String::from("-"),
+            String::from_utf8_lossy(&bytes).into_owned(),
+        ));
+    }
+    Ok(logs)
+}
+
+fn print_text(story: &RequestStory) {
+    for step in &story.steps {
+        let mark = if step.own { ">" } else { " " };
+        let name = event_name(step);
+        let fields: Vec<String> = step
+            .fields
+            .iter()
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        let (at, event, source) = (step.at_ms, step.event, &step.source);
+        println!(
+            "{mark} {at:>7} ms  {source}  {event} {name}: {}  {}",
+            step.message,
+            fields.join(" ")
+        );
+    }
+    if story.unread > 0 {
+        println!("{} lines can't be read", story.unread);
+    }
+}
+
+fn print_json(story: &RequestStory) {
+    let steps: Vec<serde_json::Value> = story
+        .steps
+        .iter()
+        .map(|step| {
+            json!({"at_ms": step.at_ms, "source": step.source, "event": step.event,
+                   "name": event_name(step), "message": step.message, "about_request": step.own,
+                   "fields": step.fields})
+        })
+        .collect();
+    println!("{}", json!({"steps": steps, "unread": story.unread}));
+}
+
+fn event_name(step: &StoryStep) -> String {
+    let mut events = LogEvent::ALL.iter();
+    let event = events.find(|event| u64::from(event.number()) == step.event);
+    event.map_or(String::new(), |event| format!("{event:?}"))
+}
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,6 +4,7 @@
 mod arguments;
 mod compare;
 mod error;
+mod explain;
 mod fleet;
 mod keys;
 mod publish;
--- a/src/operator/run.rs
+++ b/src/operator/run.rs
@@ -17,6 +17,7 @@
 use super::arguments::WaitArguments;
 use super::compare;
 use super::error::OperatorError;
+use super::explain;
 use super::fleet::FleetLog;
 use super::keys;
 use super::publish;
@@ -66,6 +67,7 @@
             author,
             log,
         } => drain(vm, !undo, author, log, json).await,
+        OperatorCommand::Explain { id, logs } => explain::explain(id, logs, json),
         OperatorCommand::Codes => {
             print_codes();
             Ok(())
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -10,3 +10,4 @@
 mod roots;
 mod route_table;
 mod slots;
+mod story;
