--- a/src/decisions/placement/balance.rs
+++ b/src/decisions/placement/balance.rs
@@ -13,6 +13,17 @@
 /// Occupancies closer than this count as equal, so that entries with the same reports spread.
 const JITTER: f64 = 0.06;
 
+/// Share of its slots from which an endpoint may slow down when it is nearly full.
+const SLOWDOWN_SHARE: f64 = 0.95;
+
+/// The calls that an endpoint is given at once: as many as stay below the share of its slots at
+/// which some endpoints slow down. One that doesn't slow down loses less by this than one that does
+/// would by being driven over it.
+pub fn usable_slots(announced: u32) -> u32 {
+    let below = (f64::from(announced) * SLOWDOWN_SHARE).ceil() as u32;
+    below.saturating_sub(1).max(1)
+}
+
 /// What an entry knows of one executor.
 #[derive(Debug, Clone, Copy)]
 pub struct ExecutorLoad {
--- a/src/decisions/placement/mod.rs
+++ b/src/decisions/placement/mod.rs
@@ -8,6 +8,7 @@
 mod measure;
 
 pub use balance::pick_executor;
+pub use balance::usable_slots;
 pub use balance::ExecutorLoad;
 pub use choice::choose_endpoint;
 pub use choice::ChoiceReason;
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -35,6 +35,7 @@
 use crate::decisions::announcement::BeliefChange;
 use crate::decisions::announcement::EndpointBeat;
 use crate::decisions::announcement::EndpointBelief;
+use crate::decisions::placement::usable_slots;
 use crate::observe::LogEvent;
 
 /// A call with less time than this is not handed over: no endpoint answers faster.
@@ -117,7 +118,7 @@
         match change {
             BeliefChange::Started | BeliefChange::Returned => {
                 self.pool.clear();
-                self.slots.set_limit(slots);
+                self.slots.set_limit(usable_slots(slots));
             }
             BeliefChange::Draining => self.slots.turn_away(),
             BeliefChange::Nothing | BeliefChange::Stale => {}
@@ -251,14 +252,7 @@
         let request = self.request(call, &beat.id);
         let until = call.deadline + ANSWER_GRACE;
         handed.set(true);
-        let attempt = self.attempt(call);
-        let mut parents = self.parents.borrow_mut();
-        let number = parents.add(call.deadline, attempt, call.origin);
-        drop(parents);
-        let guard = ParentGuard {
-            parents: &self.parents,
-            number,
-        };
+        let guard = self.begin_parent(call);
         let sent = connection.sender.try_send_request(request);
         let response = match timeout_at(until, sent).await {
             Ok(Ok(response)) => response,
@@ -380,6 +374,16 @@
         tracing::warn!(event, id, error, "the endpoint gave no whole answer");
     }
 
+    fn begin_parent(&self, call: &CallRequest) -> ParentGuard<'_> {
+        let attempt = self.attempt(call);
+        let mut parents = self.parents.borrow_mut();
+        let number = parents.add(call.deadline, attempt, call.origin);
+        ParentGuard {
+            parents: &self.parents,
+            number,
+        }
+    }
+
     fn attempt<'a>(&self, call: &'a CallRequest) -> &'a str {
         let id = call.headers.get(&self.dialect.attempt);
         id.and_then(|value| value.to_str().ok()).unwrap_or("")
--- a/tests/mesh/placement.rs
+++ b/tests/mesh/placement.rs
@@ -1,6 +1,7 @@
 //! Placement by work in hand over slots.
 
 use marigoldhatch::decisions::placement::pick_executor;
+use marigoldhatch::decisions::placement::usable_slots;
 use marigoldhatch::decisions::placement::ExecutorLoad;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -77,3 +78,16 @@
         assert!(picked.iter().filter(|one| **one == index).count() > 20);
     }
 }
+
+#[test]
+fn an_endpoint_that_slows_down_when_nearly_full_finishes_more_below_that() {
+    for slots in [17_u32, 51, 212, 308] {
+        let given = usable_slots(slots);
+        let used = f64::from(given) / f64::from(slots);
+        assert!(used < 0.95, "{given} of {slots} is below the share");
+        assert!(used > 0.9, "{given} of {slots} leaves little unused");
+        // At and above the share each call takes 1.3 times as long.
+        assert!(f64::from(given) > f64::from(slots) / 1.3);
+    }
+    assert_eq!(usable_slots(1), 1);
+}
