Say when a body or a missing configuration refuses a request; one copy of the time to return

Read as a newcomer: two places computed Retry-After; a refused body and a request before the first configuration left no line; a peer that accepts links and drops them at once was met without pause.

--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -37,6 +37,8 @@
 const PING_PER_DAEMON: Duration = Duration::from_millis(10);
 /// A link with no frame for this many intervals is gone.
 const SILENT_PINGS: u32 = 4;
+/// Keeps a peer that accepts links and drops them from costing a whole core.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// A daemon that can't be reached for this long is forgotten; it makes itself known on its return.
@@ -58,7 +60,8 @@
                 tracing::warn!(event, peer = %peer.address, "the link to a daemon broke");
                 backoff = MIN_BACKOFF;
                 reached = Instant::now();
-                // The next connection tells at once whether the process is still there.
+                // The next connection tells soon whether the process is still there.
+                tokio::time::sleep(RECONNECT_PAUSE).await;
                 continue;
             }
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => peer.give_up(),
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -23,6 +23,12 @@
 /// A call waits for a slot for at most this part of the time that is left. Trees make several calls
 /// in turn, and one that waits longer only fails later.
 const CALL_PATIENCE_PART: f64 = 0.3;
+/// A refused request comes back within this part of its latency target, to be answered in the rest.
+const RETURN_PART: f64 = 0.5;
+/// Callers take a time to come back of up to this part of the time that they have left.
+const LEFT_PART: f64 = 1.0 / 3.0;
+/// Returns are spread over this part of that time.
+const RETURN_SPREAD: std::ops::Range<f64> = 0.4..1.0;
 /// Ranks of organisations and of routes are below this; an organisation's goes first.
 const RANKS: u8 = 16;
 
@@ -72,7 +78,8 @@
     let attempt = head::attempt_id(&state.dialect, headers);
     let (parent, origin) = find_origin(state, route, organisation, own_deadline, attempt);
     let refuse = |code, share| {
-        let retry_after = retry_after(state, route, asked.unwrap_or(route.timeout));
+        let left = asked.unwrap_or(route.timeout);
+        let retry_after = retry_after(state, route.latency_target, left);
         Err(Box::new(RefusedRequest {
             code,
             retry_after: Some(retry_after),
@@ -181,9 +188,9 @@
 
 /// When to come back: soon enough to be answered within the latency target, and spread, so that the
 /// refused don't return together.
-pub fn retry_after(state: &MeshState, route: &RouteRule, left: Duration) -> Duration {
-    let latest = (route.latency_target / 2).min(left / 3);
-    let part = state.rng.borrow_mut().random_range(0.4..1.0);
+pub fn retry_after(state: &MeshState, target: Duration, left: Duration) -> Duration {
+    let latest = target.mul_f64(RETURN_PART).min(left.mul_f64(LEFT_PART));
+    let part = state.rng.borrow_mut().random_range(RETURN_SPREAD);
     latest.mul_f64(part)
 }
 
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -19,7 +19,6 @@
 use hyper::Uri;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -30,6 +29,7 @@
 use super::super::executor::EndpointAnswer;
 use super::super::state::MeshState;
 use super::admit::admit;
+use super::admit::retry_after;
 use super::admit::AdmittedRequest;
 use super::admit::RefusedRequest;
 use super::head;
@@ -132,6 +132,9 @@
     let arrived = Instant::now();
     let (mut parts, body) = request.into_parts();
     let Some(routes) = state.routes() else {
+        let event = LogEvent::CallRefused.number();
+        let id = head::attempt_id(&state.dialect, &parts.headers);
+        tracing::warn!(event, id, "no configuration is known yet");
         return own_answer(ResultCode::CutOff, Some(Duration::from_millis(500)));
     };
     let decision = admit(state, &routes, parts.uri.path(), &parts.headers, arrived);
@@ -144,9 +147,11 @@
     let body = match timeout_at(admitted.deadline, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return own_answer(ResultCode::BodyTooLarge, None);
+            return refuse_body(state, &parts.headers, ResultCode::BodyTooLarge);
+        }
+        Ok(Err(_)) | Err(_) => {
+            return refuse_body(state, &parts.headers, ResultCode::BodyTimeout);
         }
-        Ok(Err(_)) | Err(_) => return own_answer(ResultCode::BodyTimeout, None),
     };
     let organisation = admitted.organisation.as_deref();
     let settings = state.settings();
@@ -194,9 +199,8 @@
         }
         Err(code) => {
             let left = admitted.deadline.saturating_duration_since(Instant::now());
-            let latest = (admitted.latency_target / 2).min(left / 3);
-            let part = state.rng.borrow_mut().random_range(0.4..1.0);
-            own_answer(code, Some(latest.mul_f64(part)))
+            let after = retry_after(state, admitted.latency_target, left);
+            own_answer(code, Some(after))
         }
     }
 }
@@ -290,6 +294,13 @@
     own_answer(refused.code, refused.retry_after)
 }
 
+fn refuse_body(state: &MeshState, headers: &HeaderMap, code: ResultCode) -> CallerAnswer {
+    let event = LogEvent::CallRefused.number();
+    let id = head::attempt_id(&state.dialect, headers);
+    tracing::warn!(event, id, ?code, "the body can't be taken");
+    own_answer(code, None)
+}
+
 /// An answer of the daemon's own; only one that says "not run" may name a time to come back.
 fn own_answer(code: ResultCode, retry_after: Option<Duration>) -> CallerAnswer {
     let mut response = code.response();
