Put an endpoint back with the first report on a new link

A broken link takes its daemon out of the index; the first report on the next link equalled the last one, counted as no change, and the index stayed. Test: tests/mesh/peers.rs, failed before.

--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -89,6 +89,8 @@
     /// Gives up the link; calls that may run again are told so at once.
     pub fn detach(&self) {
         *self.sender.borrow_mut() = None;
+        // The first report on the next link then counts as a change and puts the endpoint back.
+        *self.report.borrow_mut() = None;
         let pending = self.pending.borrow();
         let lost: Vec<u64> = pending
             .iter()
--- a/tests/mesh/calls.rs
+++ b/tests/mesh/calls.rs
@@ -15,7 +15,7 @@
 
 const ID: (u64, u64) = (9, 1);
 
-async fn link() -> LinkSender {
+pub async fn link() -> LinkSender {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     let stream = TcpStream::connect(address).await.expect("a connection");
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod judge;
 mod parents;
+mod peers;
 mod placement;
 mod proof;
 mod quota;
--- /dev/null
+++ b/tests/mesh/peers.rs
@@ -0,0 +1,44 @@
+//! What a daemon knows of another whose link breaks and comes back.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use marigoldhatch::mesh::fleet::DaemonReport;
+use marigoldhatch::mesh::fleet::EndpointReport;
+use marigoldhatch::mesh::fleet::Peer;
+use tokio::task::LocalSet;
+
+use super::calls::link;
+
+fn report() -> DaemonReport {
+    DaemonReport {
+        endpoint: Some(EndpointReport {
+            service: "archive".to_owned(),
+            failure_domain: "domain".to_owned(),
+            slots: 4,
+            cold: false,
+            in_hand: 0,
+        }),
+        ..DaemonReport::default()
+    }
+}
+
+#[tokio::test]
+async fn the_first_report_on_a_new_link_puts_the_endpoint_back() {
+    LocalSet::new()
+        .run_until(async {
+            let peer = Peer::from_address(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+            peer.attach(link().await, 7);
+            assert!(peer.take_report(report()), "an endpoint is there");
+            assert!(!peer.take_report(report()), "nothing has changed");
+            peer.detach();
+            assert!(peer.with_report(|_| ()).is_none());
+            peer.attach(link().await, 7);
+            assert!(
+                peer.with_report(|_| ()).is_none(),
+                "nothing was said on this link"
+            );
+            assert!(peer.take_report(report()), "the endpoint is there again");
+        })
+        .await;
+}
