--- /dev/null
+++ b/bench/src/handlings/forward.rs
@@ -0,0 +1,105 @@
+//! The endpoint, and a forwarder on pooled HTTP/1.1 connections to compare with.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper::Response;
+use hyper_util::rt::TokioIo;
+use marigoldhatch::transport::ConnectionPool;
+use marigoldhatch::transport::SendPlan;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+const DEADLINE: Duration = Duration::from_secs(5);
+const ANSWER: &[u8] = &[b'a'; 600];
+
+/// Answers each request with a small body.
+pub async fn serve_endpoint(address: SocketAddr, stop: oneshot::Receiver<()>) {
+    serve(address, stop, |request| async move {
+        let mut answer = Response::new(Full::new(Bytes::from_static(ANSWER)));
+        let headers = answer.headers_mut();
+        if let Some(attempt) = request.headers().get("x-attempt-id") {
+            headers.insert("x-attempt-id", attempt.clone());
+        }
+        headers.insert("x-response-seal", "1.2.3".parse().expect("a value"));
+        answer
+    })
+    .await;
+}
+
+/// Passes each request on to `next`.
+pub async fn serve_forwarder(address: SocketAddr, next: SocketAddr, stop: oneshot::Receiver<()>) {
+    let pool = Rc::new(ConnectionPool::default());
+    serve(address, stop, move |request| {
+        let pool = pool.clone();
+        async move {
+            let (head, _) = request.into_parts();
+            let request = Request::from_parts(head, Full::new(Bytes::new()));
+            let plan = SendPlan {
+                deadline: Instant::now() + DEADLINE,
+                max_answer_bytes: MAX_ANSWER_BYTES,
+                fresh: false,
+            };
+            match pool.send(next, request, plan).await {
+                Ok(answer) => {
+                    let mut response = Response::new(Full::new(answer.body));
+                    *response.status_mut() = answer.status;
+                    *response.headers_mut() = answer.headers;
+                    response
+                }
+                Err(_) => {
+                    let mut response = Response::new(Full::new(Bytes::new()));
+                    *response.status_mut() = hyper::StatusCode::BAD_GATEWAY;
+                    response
+                }
+            }
+        }
+    })
+    .await;
+}
+
+async fn serve<H, A>(address: SocketAddr, stop: oneshot::Receiver<()>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let listener = TcpListener::bind(address).await.expect("a free address");
+    let handle = Rc::new(handle);
+    let accepting = async {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            stream.set_nodelay(true).expect("an option");
+            tokio::task::spawn_local(serve_connection(stream, handle.clone()));
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        _ = stop => {}
+    }
+}
+
+async fn serve_connection<H, A>(stream: TcpStream, handle: Rc<H>)
+where
+    H: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // Callers close their connections when the measurement ends.
+    drop(served.await);
+}
--- /dev/null
+++ b/bench/src/handlings/load.rs
@@ -0,0 +1,83 @@
+//! Callers that each have one request in flight.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
+/// Pause after an answer that isn't a success, as while a daemon has just started.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Keeps `in_flight` requests open for a time and returns how many were answered well.
+pub fn run_load(address: SocketAddr, in_flight: usize, time: Duration) -> u64 {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let end = Instant::now() + time;
+        let callers: Vec<_> = (0..in_flight)
+            .map(|_| tokio::spawn(call_until(address, end)))
+            .collect();
+        let mut answered = 0;
+        for caller in callers {
+            answered += caller.await.expect("a caller ends");
+        }
+        answered
+    })
+}
+
+async fn call_until(address: SocketAddr, end: Instant) -> u64 {
+    let stream = connect(address).await;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .expect("a connection");
+    tokio::spawn(connection);
+    let mut answered = 0;
+    while Instant::now() < end {
+        sender.ready().await.expect("the connection stays open");
+        let response = sender.send_request(request()).await.expect("an answer");
+        let whole = response.status().is_success();
+        let body = response.into_body().collect().await;
+        if whole && body.is_ok() {
+            answered += 1;
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+    answered
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => {
+                stream.set_nodelay(true).expect("an option");
+                return stream;
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+fn request() -> Request<Empty<Bytes>> {
+    let attempt = NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed);
+    Request::builder()
+        .uri("/deep/get")
+        .header("host", "deep.example")
+        .header("x-attempt-id", format!("{attempt:016x}"))
+        .header("x-deadline-ms", "5000")
+        .header("accept", "application/json")
+        .body(Empty::new())
+        .expect("a sound request")
+}
--- /dev/null
+++ b/bench/src/handlings/mod.rs
@@ -0,0 +1,257 @@
+//! What one handling of a call costs a daemon of the mesh.
+//!
+//! A caller, an entry, an executor and an endpoint each have a thread of their own, so that the
+//! processor time of the two daemons can be told apart from that of the load. The same load goes
+//! through two forwarders on pooled HTTP/1.1 connections for comparison.
+
+mod forward;
+mod load;
+mod thread;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::body::Bytes;
+use hyper::header::HeaderName;
+use marigoldhatch::decisions::announcement::EndpointBeat;
+use marigoldhatch::decisions::announcement::EndpointState;
+use marigoldhatch::decisions::quota::QuotaTolerance;
+use marigoldhatch::decisions::retries::RepeatRule;
+use marigoldhatch::mesh::fleet::CallerLimits;
+use marigoldhatch::mesh::fleet::MeshConfig;
+use marigoldhatch::mesh::fleet::RoutePart;
+use marigoldhatch::mesh::fleet::RouteRule;
+use marigoldhatch::mesh::HeaderDialect;
+use marigoldhatch::mesh::MeshDaemon;
+use marigoldhatch::mesh::MeshSettings;
+use tokio::sync::oneshot;
+
+use forward::serve_endpoint;
+use forward::serve_forwarder;
+use load::run_load;
+use thread::ServerThread;
+
+const SERVICE: &str = "deep";
+/// Requests in flight between the same two daemons.
+const IN_FLIGHT: [usize; 3] = [1, 30, 300];
+const WARM_UP: Duration = Duration::from_secs(1);
+const MEASURED: Duration = Duration::from_secs(4);
+/// The target of one handling.
+const TARGET_US: f64 = 30.0;
+const HANDLINGS_PER_CALL: f64 = 2.0;
+
+/// The entry, the executor and the endpoint of one way through the fleet.
+struct CallWay {
+    name: &'static str,
+    entry: ServerThread,
+    executor: ServerThread,
+    endpoint: ServerThread,
+}
+
+/// Measures both ways at each load and prints a table.
+pub fn run() {
+    println!(
+        "{:<22} {:>9} {:>9} {:>10} {:>12} {:>10}",
+        "way", "in flight", "calls/s", "entry us", "executor us", "a handling"
+    );
+    for in_flight in IN_FLIGHT {
+        for way in [start_forwarders(), start_mesh()] {
+            way.measure(in_flight);
+            way.close();
+        }
+    }
+    println!("target: {TARGET_US} us or less a handling");
+}
+
+impl CallWay {
+    fn measure(&self, in_flight: usize) {
+        run_load(self.entry.address, in_flight, WARM_UP);
+        let (entry, executor) = (self.entry.processor_time(), self.executor.processor_time());
+        let begun = Instant::now();
+        let calls = run_load(self.entry.address, in_flight, MEASURED);
+        let seconds = begun.elapsed().as_secs_f64();
+        let cost = |before: Duration, after: Duration| {
+            (after - before).as_secs_f64() * 1e6 / calls.max(1) as f64
+        };
+        let entry = cost(entry, self.entry.processor_time());
+        let executor = cost(executor, self.executor.processor_time());
+        println!(
+            "{:<22} {:>9} {:>9.0} {:>10.1} {:>12.1} {:>10.1}",
+            self.name,
+            in_flight,
+            calls as f64 / seconds,
+            entry,
+            executor,
+            (entry + executor) / HANDLINGS_PER_CALL
+        );
+    }
+
+    fn close(self) {
+        self.entry.close();
+        self.executor.close();
+        self.endpoint.close();
+    }
+}
+
+fn start_forwarders() -> CallWay {
+    let endpoint = start_endpoint();
+    let beside = endpoint.address;
+    let executor = ServerThread::start(move |address, stop| serve_forwarder(address, beside, stop));
+    let next = executor.address;
+    let entry = ServerThread::start(move |address, stop| serve_forwarder(address, next, stop));
+    CallWay {
+        name: "pooled HTTP/1.1",
+        entry,
+        executor,
+        endpoint,
+    }
+}
+
+fn start_mesh() -> CallWay {
+    let endpoint = start_endpoint();
+    let beside = endpoint.address;
+    let link = free_address();
+    let executor = ServerThread::start(move |callers, stop| {
+        let place = DaemonPlace {
+            callers,
+            link,
+            endpoint: Some(beside),
+            peer: None,
+        };
+        serve_daemon(place, stop)
+    });
+    let entry = ServerThread::start(move |callers, stop| {
+        let place = DaemonPlace {
+            callers,
+            link: free_address(),
+            endpoint: None,
+            peer: Some(link),
+        };
+        serve_daemon(place, stop)
+    });
+    CallWay {
+        name: "links between daemons",
+        entry,
+        executor,
+        endpoint,
+    }
+}
+
+fn start_endpoint() -> ServerThread {
+    ServerThread::start(serve_endpoint)
+}
+
+/// Where a daemon listens, and whom it knows.
+struct DaemonPlace {
+    callers: SocketAddr,
+    link: SocketAddrV4,
+    endpoint: Option<SocketAddr>,
+    peer: Option<SocketAddrV4>,
+}
+
+async fn serve_daemon(place: DaemonPlace, stop: oneshot::Receiver<()>) {
+    let decode = Box::new(|_: &[u8]| Ok(configuration()));
+    let daemon = MeshDaemon::start(settings(place.callers, place.link), dialect(), decode)
+        .expect("the addresses are free");
+    let state = daemon.state().clone();
+    state.apply_config(&Bytes::from_static(b"bench"), "bench");
+    state.prove_newest(1, marigoldhatch::clock::boot_now());
+    if let Some(SocketAddr::V4(address)) = place.endpoint {
+        state.hear_endpoint(beat(address));
+    }
+    if let Some(address) = place.peer {
+        state.meet(address);
+    }
+    // A sender that is dropped means the same.
+    drop(stop.await);
+}
+
+fn free_address() -> SocketAddrV4 {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let port = listener.local_addr().expect("its address").port();
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+fn beat(address: SocketAddrV4) -> EndpointBeat {
+    EndpointBeat {
+        id: "endpoint-1".to_owned(),
+        service: SERVICE.to_owned(),
+        address,
+        slots: 1000,
+        state: EndpointState::Ready,
+        sequence: 1,
+        born_ms: 1,
+        cold: Duration::ZERO,
+    }
+}
+
+fn settings(callers: SocketAddr, link: SocketAddrV4) -> MeshSettings {
+    let SocketAddr::V4(caller_address) = callers else {
+        panic!("{callers} is no IPv4 address");
+    };
+    MeshSettings {
+        vm: link.to_string(),
+        failure_domain: "one".to_owned(),
+        service: SERVICE.to_owned(),
+        caller_address,
+        link_address: link,
+        link_listen_address: link,
+        announce_interval: Duration::from_secs(3600),
+        proof_age_limit: Duration::from_secs(3600),
+        repeat_rule: RepeatRule {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        },
+        quota_tolerance: QuotaTolerance {
+            window: Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        },
+        stop_grace: Duration::from_secs(6),
+    }
+}
+
+fn configuration() -> MeshConfig {
+    let part = RoutePart {
+        service: SERVICE.into(),
+        weight: 1,
+    };
+    let route = RouteRule {
+        name: "bench".to_owned(),
+        host: "deep.example".to_owned(),
+        path_prefix: "/deep/".to_owned(),
+        idempotent: true,
+        timeout: Duration::from_secs(10),
+        latency_target: Duration::from_secs(5),
+        rank: 0,
+        parts: [part].into_iter().collect(),
+        max_attempts: 2,
+        open_to_all: true,
+    };
+    MeshConfig {
+        version: 1,
+        routes: vec![route],
+        organisations: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            idle_timeout: Duration::from_secs(60),
+        },
+    }
+}
+
+fn dialect() -> HeaderDialect {
+    HeaderDialect {
+        attempt: HeaderName::from_static("x-attempt-id"),
+        deadline: HeaderName::from_static("x-deadline-ms"),
+        expected_endpoint: HeaderName::from_static("x-expected-instance"),
+        organisation: HeaderName::from_static("x-tenant-name"),
+        caller_service: HeaderName::from_static("x-caller-service"),
+        not_executed: HeaderName::from_static("x-not-executed"),
+        answer_seal: HeaderName::from_static("x-response-seal"),
+    }
+}
--- /dev/null
+++ b/bench/src/handlings/thread.rs
@@ -0,0 +1,72 @@
+//! A server on a thread of its own, whose processor time can be asked for.
+
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use nix::time::clock_gettime;
+use nix::time::ClockId;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+type TimeReply = oneshot::Sender<Duration>;
+
+/// A server that runs until it is closed.
+pub struct ServerThread {
+    pub address: SocketAddr,
+    questions: mpsc::UnboundedSender<TimeReply>,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl ServerThread {
+    /// Starts a server at a free address.
+    pub fn start<F, S>(serve: F) -> Self
+    where
+        F: FnOnce(SocketAddr, oneshot::Receiver<()>) -> S + Send + 'static,
+        S: std::future::Future<Output = ()>,
+    {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        drop(listener);
+        let (questions, asked) = mpsc::unbounded_channel();
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            LocalSet::new().block_on(&runtime, async move {
+                tokio::task::spawn_local(answer_times(asked));
+                serve(address, stopped).await;
+            });
+        });
+        Self {
+            address,
+            questions,
+            stop,
+            thread,
+        }
+    }
+
+    /// The processor time that the thread has used.
+    pub fn processor_time(&self) -> Duration {
+        let (reply, answered) = oneshot::channel();
+        self.questions.send(reply).expect("the thread runs");
+        answered.blocking_recv().expect("the thread answers")
+    }
+
+    /// Stops the server and waits for its thread.
+    pub fn close(self) {
+        drop(self.stop);
+        self.thread.join().expect("the thread ends well");
+    }
+}
+
+async fn answer_times(mut asked: mpsc::UnboundedReceiver<TimeReply>) {
+    while let Some(reply) = asked.recv().await {
+        let used = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("a thread's clock");
+        reply.send(used.into()).expect("the asker waits");
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,8 @@
 //! Measures marigoldhatch: the policies under overload, the ways to keep a rate, the latency that a
-//! call gains, and the slopes behind docs/CAPACITY.md.
+//! call gains, the processor time of a handling, and the slopes behind docs/CAPACITY.md.
 
 mod fleet;
+mod handlings;
 mod latency;
 mod policies;
 mod processes;
@@ -39,6 +40,8 @@
     },
     /// Latency that a call gains, and calls a second for each core.
     Latency,
+    /// Processor time of one handling of a call at entry and executor.
+    Handlings,
     /// Cost of control as the fleet grows; starts that many daemons on loopback.
     Slopes {
         #[arg(long, value_delimiter = ',', default_values_t = [5, 20, 80])]
@@ -85,6 +88,10 @@
             block_on(latency::run());
             true
         }
+        BenchCommand::Handlings => {
+            handlings::run();
+            true
+        }
         BenchCommand::Slopes { daemons } => {
             block_on(slopes::run(&daemons));
             true
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -36,7 +36,7 @@
         decode_config: ConfigDecoder,
     ) -> std::io::Result<Self> {
         let callers = listen(settings.caller_address)?;
-        let links = listen(settings.link_address)?;
+        let links = listen(settings.link_listen_address)?;
         let event = LogEvent::DaemonStarted.number();
         tracing::warn!(event, vm = settings.vm, "the daemon has started");
         let state = MeshState::start(settings, dialect, decode_config);
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -15,8 +15,10 @@
     pub service: String,
     /// Where callers and the endpoint on this VM send requests.
     pub caller_address: SocketAddrV4,
-    /// Where other daemons connect.
+    /// Where other daemons connect; it names this daemon among them.
     pub link_address: SocketAddrV4,
+    /// Where links are accepted; it differs from the address above behind something that forwards.
+    pub link_listen_address: SocketAddrV4,
     /// Time between two announcements of an endpoint.
     pub announce_interval: Duration,
     /// Age of the proof that the configuration is the newest, from which keyed requests are refused.
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -103,6 +103,7 @@
         *self.settings.borrow_mut() = Rc::new(MeshSettings {
             caller_address: old.caller_address,
             link_address: old.link_address,
+            link_listen_address: old.link_listen_address,
             ..settings
         });
     }
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -36,6 +36,7 @@
         service: "archive".to_owned(),
         caller_address: address,
         link_address: address,
+        link_listen_address: address,
         announce_interval: Duration::from_secs(1),
         proof_age_limit: LIMIT,
         repeat_rule: RepeatRule {
