Read the store with three daemons of the fleet; leave idle organisations out of reports

Cause: every daemon kept a long poll of its own at the store, 1 call in 1.5 s each. Ruled out: a longer poll, since its end is what proves that no key was withdrawn.

Change: the three daemons that stand first in an order all agree on read; the others get the configuration and the proof of its recency from them, and read for themselves once a proof is half as old as is allowed. Reports name only organisations that ask for something.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -19,5 +19,6 @@
 pub mod quota;
 #[cfg(feature = "product")]
 pub mod rates;
+pub mod readers;
 pub mod retries;
 pub mod roots;
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -43,8 +43,6 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// A daemon that can't be reached for this long is forgotten; it makes itself known on its return.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Time that the platform's own delivery of a new configuration gets before a peer is asked.
-const CONFIG_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Keeps a link to a daemon until it is forgotten.
 pub async fn keep_link(state: Rc<MeshState>, peer: Rc<Peer>) {
@@ -200,8 +198,7 @@
             return;
         }
         let since = *self.behind_since.get_or_insert_with(Instant::now);
-        let waited = since.elapsed() >= CONFIG_PATIENCE;
-        if waited || self.state.config_version() == 0 {
+        if self.state.may_ask_config(since.elapsed()) {
             self.behind_since = None;
             sender.send(&LinkFrame::WantConfig, &[]);
         }
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -226,7 +226,8 @@
         .collect()
     }
 
-    /// What each organisation asks of this entry.
+    /// What each organisation asks of this entry. One that has asked for nothing for a second or two
+    /// is left out: what it was admitted has been told, and counts go on from there.
     pub fn organisation_demand(&self) -> Vec<OrganisationDemand> {
         let quotas = self.quotas.iter();
         quotas
@@ -235,6 +236,7 @@
                 rate_tenths: (quota.demand() * 10.0) as u32,
                 admitted: quota.admitted(),
             })
+            .filter(|demand| demand.rate_tenths > 0)
             .collect()
     }
 
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -15,7 +15,10 @@
     pub config_version: u64,
     /// Age of the proof that this version is the newest, or none if there is no proof.
     pub proof_age_ms: Option<u32>,
+    /// Whether the daemon reads the store all the time and its last read succeeded.
+    pub reads_store: bool,
     pub endpoint: Option<EndpointReport>,
+    /// Organisations that ask for something now.
     pub organisations: Vec<OrganisationDemand>,
     pub classes: Vec<ClassRate>,
 }
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -17,6 +17,7 @@
 use super::entry::EntryGate;
 use super::executor::CallTable;
 use super::executor::EndpointExecutor;
+use super::fleet::hash_name;
 use super::fleet::DaemonReport;
 use super::fleet::EndpointReport;
 use super::fleet::MeshConfig;
@@ -27,9 +28,17 @@
 use super::link::LinkSender;
 use super::settings::MeshSettings;
 use crate::clock::boot_now;
+use crate::decisions::readers::is_old;
+use crate::decisions::readers::should_read;
+use crate::decisions::readers::PeerReader;
 use crate::observe::FleetMetrics;
 use crate::observe::LogEvent;
 
+/// Time that the store's own delivery of a new configuration gets before a peer is asked.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(300);
+/// A peer that was asked for its configuration has this long before another one is asked.
+const CONFIG_ASK_EVERY: Duration = Duration::from_millis(250);
+
 /// Reads a configuration as the platform keeps it.
 pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<MeshConfig, String>>;
 
@@ -49,6 +58,8 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     raw_config: RefCell<Bytes>,
     proven: Cell<Option<Duration>>,
+    reads_store: Cell<bool>,
+    config_asked: Cell<Option<Instant>>,
     peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
     by_service: RefCell<HashMap<String, Vec<Rc<Peer>>>>,
     listeners: RefCell<Vec<LinkSender>>,
@@ -81,6 +92,8 @@
             routes: RefCell::new(None),
             raw_config: RefCell::new(Bytes::new()),
             proven: Cell::new(None),
+            reads_store: Cell::new(false),
+            config_asked: Cell::new(None),
             peers: RefCell::new(HashMap::new()),
             by_service: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
@@ -173,6 +186,10 @@
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::from_config(config)));
         // A proof for an older version stays good: this one includes all that was in force then.
         *self.raw_config.borrow_mut() = raw.clone();
+        if self.reads_store.get() {
+            // The others wait for their readers' word.
+            self.announce();
+        }
     }
 
     /// Notes that `version` was the newest at `at` on the clock that suspension doesn't stop.
@@ -183,6 +200,50 @@
         }
     }
 
+    /// Whether this daemon should read the store now, for itself or for the fleet.
+    pub fn should_read_store(&self) -> bool {
+        let peers = self.peers();
+        let peers = peers.iter().filter_map(|peer| {
+            let order = reader_order(peer.address);
+            peer.with_report(|report| PeerReader {
+                order,
+                reads: report.reads_store,
+            })
+        });
+        let settings = self.settings();
+        let own = reader_order(settings.link_address);
+        should_read(own, peers, self.proof_age(), settings.proof_age_limit)
+    }
+
+    /// Whether what peers prove has become too old to wait for more of it.
+    pub fn proof_is_old(&self) -> bool {
+        is_old(self.proof_age(), self.settings().proof_age_limit)
+    }
+
+    /// Notes whether this daemon reads the store, for its peers to count on.
+    pub fn set_reads_store(&self, reads: bool) {
+        if self.reads_store.replace(reads) != reads {
+            let event = LogEvent::ReaderChanged.number();
+            tracing::warn!(event, reads, "reads the store for the fleet");
+        }
+    }
+
+    /// Whether a peer that has a newer configuration may be asked for it, `waited` after it was
+    /// first heard of; a moment later another one may.
+    pub fn may_ask_config(&self, waited: Duration) -> bool {
+        let known = self.config_version() > 0;
+        // A reader hears from the store itself.
+        if known && self.reads_store.get() && waited < CONFIG_PATIENCE {
+            return false;
+        }
+        let asked = self.config_asked.get();
+        if known && asked.is_some_and(|at| at.elapsed() < CONFIG_ASK_EVERY) {
+            return false;
+        }
+        self.config_asked.set(Some(Instant::now()));
+        true
+    }
+
     /// Age of the proof that the configuration in force is the newest.
     pub fn proof_age(&self) -> Option<Duration> {
         Some(boot_now().saturating_sub(self.proven.get()?))
@@ -271,6 +332,7 @@
             stopping: self.stopping.get(),
             config_version: self.config_version(),
             proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32),
+            reads_store: self.reads_store.get(),
             endpoint: self.endpoint_report(),
             organisations: gate.organisation_demand(),
             classes: gate.class_rates(),
@@ -317,3 +379,8 @@
         self.open_requests.set(open.saturating_add_signed(change));
     }
 }
+
+/// The same order at every daemon, and one in which failure domains are mixed.
+fn reader_order(address: SocketAddrV4) -> u64 {
+    u64::from(hash_name(&address.to_string()))
+}
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -47,6 +47,7 @@
     LogUnreadable = 3001, "The platform's log can't be read; the daemon goes on with what it holds.";
     LogReadable = 3002, "The platform's log is read again.";
     LogRecordBad = 3003, "A record of the log was not understood and was passed over.";
+    ReaderChanged = 3004, "The daemon begins or ends to read the platform's log for the fleet.";
     ConfigInForce = 3101, "A version of a team's configuration is in force here.";
     ConfigLost = 3102, "A change lost against another that was based on the same version.";
     ConfigRestated = 3103, "State in force was appended again before its record expired.";
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod proof;
 mod quota;
+mod readers;
 mod repeats;
 mod roots;
 mod route_table;
