Bound what a daemon admits before the others hear of it

Reports of 73 daemons are up to 0.73 s old, but the share took them to be 0.45 s old; and nothing bounded what all daemons admit together while a surge is unseen: a model of 90 daemons and 8 times the rate admitted 736 of 436.

Ruled out: a fixed even part of the bucket (one request a daemon refuses 20% within rate at 90 daemons), and a longer debt alone.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -8,24 +8,31 @@
 
 /// Part of the burst below which a daemon keeps to its own share of the rate.
 const FREE_LEVEL: f64 = 0.1;
-/// Reports of what others admitted are about this old; what is asked beyond the rate in this time
-/// must still fit into the bucket.
-const REPORT_AGE: Duration = Duration::from_millis(450);
+/// Age of reports before the first have come.
+const FIRST_REPORT_AGE: Duration = Duration::from_millis(450);
+/// While reports are on their way, a daemon admits this many times its own part of the rate.
+const UNSEEN_FACTOR: f64 = 1.5;
+/// Beyond that it admits this many standard deviations of even arrivals and this many requests.
+const UNSEEN_DEVIATIONS: f64 = 2.0;
+const UNSEEN_REQUESTS: f64 = 1.0;
 /// A daemon's own part holds this many seconds of its rate for uneven arrivals.
 const OWN_SECONDS: f64 = 0.7;
 /// A daemon with little demand may still admit this many requests at once.
 const OWN_FLOOR: f64 = 1.0;
 /// An overdrawn bucket is paid back: a daemon uses less of its rate, down to this part of it when
 /// the overdraft is as large as the burst.
-const LEAST_PART: f64 = 0.2;
+const LEAST_PART: f64 = 0.1;
 /// The overdraft that is remembered, in bursts.
-const MOST_DEBT: f64 = 2.0;
+const MOST_DEBT: f64 = 4.0;
 /// Time over which the demand is smoothed.
 const DEMAND_MEMORY: Duration = Duration::from_millis(700);
 
+/// Time over which a daemon's part of the demand is smoothed: several times the age of reports.
+const SHARE_MEMORY: Duration = Duration::from_secs(5);
+
 /// The part of the operator's tolerance that is used up on purpose; the rest covers what is admitted
 /// before the daemons have heard of each other.
-const TOLERANCE_PART: f64 = 0.3;
+const TOLERANCE_PART: f64 = 0.2;
 
 /// What the operator tolerates beyond rate and burst in a window.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +69,8 @@
     pub admitted: f64,
     /// Daemons that may serve the organisation, this one included.
     pub daemons: usize,
+    /// How old reports get before the next ones come.
+    pub report_age: Duration,
 }
 
 /// The state of one organisation at one daemon.
@@ -69,9 +78,17 @@
 pub struct QuotaShare {
     fleet_level: f64,
     own_level: f64,
+    /// What may still be admitted before the other daemons have heard of it.
+    unseen_level: f64,
+    unseen_most: f64,
+    /// So much was admitted since the last report that the others must hear of it now.
+    surging: bool,
     own_rate: f64,
     peer_rate: f64,
     daemons: usize,
+    /// This daemon's part of the demand over a longer time.
+    usual_share: f64,
+    report_age: Duration,
     asked: f64,
     admitted: u64,
     updated: Duration,
@@ -83,10 +100,15 @@
     pub fn start() -> Self {
         Self {
             fleet_level: 0.0,
-            own_level: OWN_FLOOR,
+            own_level: 0.0,
+            unseen_level: OWN_FLOOR,
+            unseen_most: OWN_FLOOR,
+            surging: false,
             own_rate: 0.0,
             peer_rate: 0.0,
             daemons: 1,
+            usual_share: 0.0,
+            report_age: FIRST_REPORT_AGE,
             asked: 0.0,
             admitted: 0,
             updated: Duration::ZERO,
@@ -98,6 +120,17 @@
         self.admitted
     }
 
+    /// Whether more was admitted than the others can expect, so that a report must not wait.
+    pub fn is_surging(&self) -> bool {
+        self.surging
+    }
+
+    /// Notes that the others were just told.
+    pub fn note_reported(&mut self) {
+        self.surging = false;
+        self.unseen_level = self.unseen_most;
+    }
+
     /// Requests a second that this daemon is asked for, for its report.
     pub fn demand(&self) -> f64 {
         self.own_rate
@@ -113,12 +146,14 @@
         self.refill(rule, now);
         self.asked += 1.0;
         let beyond = (self.own_rate + self.peer_rate - rule.rate).max(0.0);
-        let kept = rule.burst * FREE_LEVEL + beyond * REPORT_AGE.as_secs_f64()
+        let kept = rule.burst * FREE_LEVEL + beyond * self.report_age.as_secs_f64()
             - TOLERANCE_PART * tolerance.requests(rule);
         let free = self.fleet_level >= kept + 1.0;
-        if !free && self.own_level < 1.0 {
+        if !free && self.own_level < 1.0 || self.unseen_level < 1.0 {
             return false;
         }
+        self.unseen_level -= 1.0;
+        self.surging |= self.unseen_level < 1.0;
         self.fleet_level -= 1.0;
         self.own_level = (self.own_level - 1.0).max(0.0);
         self.admitted += 1;
@@ -133,6 +168,10 @@
         self.asked = 0.0;
         self.peer_rate = peers.rate;
         self.daemons = peers.daemons.max(1);
+        self.report_age = peers.report_age;
+        // Own demand is known sooner than that of others, so a surge everywhere looks like one here.
+        let weight = (seconds / SHARE_MEMORY.as_secs_f64()).min(1.0);
+        self.usual_share += weight * (self.share() - self.usual_share);
         self.fleet_level -= peers.admitted;
     }
 
@@ -145,6 +184,21 @@
         let own = rule.rate * self.share() * part;
         let most = (own * OWN_SECONDS).max(OWN_FLOOR);
         self.own_level = (self.own_level + own * seconds).min(most);
+        self.unseen_most = self.unseen_limit(rule);
+        let added = UNSEEN_FACTOR * rule.rate * self.expected_share() * seconds;
+        self.unseen_level = (self.unseen_level + added).min(self.unseen_most);
+    }
+
+    /// What this daemon may admit at once. An organisation that asks for far more than its rate does so
+    /// everywhere at the same time, and each daemon notices only the part that it gets itself.
+    fn unseen_limit(&self, rule: &QuotaRule) -> f64 {
+        let expected = rule.rate * self.expected_share() * self.report_age.as_secs_f64();
+        expected + UNSEEN_DEVIATIONS * expected.sqrt() + UNSEEN_REQUESTS
+    }
+
+    /// The part of all arrivals that is expected here; a pause is no reason to expect less.
+    fn expected_share(&self) -> f64 {
+        self.usual_share.max(1.0 / self.daemons as f64)
     }
 
     /// The part of the rate that is this daemon's, by demand.
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -84,8 +84,13 @@
     Ok((reader, sender))
 }
 
+/// Time between two pings on a link, each of which is answered with a report.
+pub fn ping_interval(daemons: usize) -> Duration {
+    PING_EVERY.max(PING_PER_DAEMON * daemons as u32)
+}
+
 async fn run_link(state: &Rc<MeshState>, peer: &Peer, mut reader: LinkReader, sender: LinkSender) {
-    let interval = PING_EVERY.max(PING_PER_DAEMON * state.daemons() as u32);
+    let interval = ping_interval(state.daemons());
     let mut link = LinkTask {
         state: state.clone(),
         sequence: 0,
@@ -140,7 +145,8 @@
         let (frame, body_at) = decode_frame(&bytes)?;
         match frame {
             LinkFrame::Report { sequence, report } => {
-                self.take_report(peer, sender, sequence, report)
+                let state = self.state.clone();
+                state.spend_control(|| self.take_report(peer, sender, sequence, report));
             }
             LinkFrame::Answer(head) => {
                 peer.note_load(head.in_hand);
--- a/src/mesh/control/tick.rs
+++ b/src/mesh/control/tick.rs
@@ -5,6 +5,7 @@
 
 use super::super::fleet::DaemonReport;
 use super::super::state::MeshState;
+use super::peer_link::ping_interval;
 
 /// Time between two deals; reports of peers come about as often.
 const DEAL_EVERY: Duration = Duration::from_millis(250);
@@ -16,8 +17,11 @@
     loop {
         tokio::time::sleep(DEAL_EVERY).await;
         let now = state.now();
-        deal(&state, now.saturating_sub(last));
+        state.spend_control(|| deal(&state, now.saturating_sub(last)));
         last = now;
+        if state.gate.borrow().is_surging() {
+            state.announce();
+        }
         // An endpoint that fell silent is taken out without waiting for the next ping.
         let service = state.endpoint_report().map(|one| one.service);
         if service != known {
@@ -40,6 +44,10 @@
     let mut gate = state.gate.borrow_mut();
     gate.measure(elapsed);
     let own = state.endpoint_report();
-    gate.deal_quotas(&reports, elapsed);
+    gate.deal_quotas(
+        &reports,
+        elapsed,
+        ping_interval(reports.len() + 1) + elapsed,
+    );
     gate.deal_classes(&reports, own.as_ref());
 }
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -62,6 +62,7 @@
     peer_admitted: HashMap<(u64, u32), u64>,
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
+    credits: HashMap<u32, f64>,
     repeats: HashMap<u32, RepeatBudget>,
     deals: u32,
 }
@@ -85,6 +86,11 @@
         classes.map(|(class, state)| (*class, state.share))
     }
 
+    /// Slot-seconds a second that were last dealt out for a service, for metrics.
+    pub fn credit(&self, service: &str) -> Option<f64> {
+        self.credits.get(&hash_name(service)).copied()
+    }
+
     /// The share that was dealt to a class, for log lines.
     pub fn class_share(&self, class: ClassKey) -> f64 {
         self.classes.get(&class).map_or(1.0, |state| state.share)
@@ -103,6 +109,17 @@
         share.admit(rule, tolerance, now)
     }
 
+    /// Whether an organisation was admitted so much here that the other daemons must hear of it now.
+    pub fn is_surging(&self) -> bool {
+        self.quotas.values().any(QuotaShare::is_surging)
+    }
+
+    /// Notes that the other daemons were just told what was admitted here.
+    pub fn note_reported(&mut self) {
+        let surging = self.quotas.values_mut().filter(|one| one.is_surging());
+        surging.for_each(QuotaShare::note_reported);
+    }
+
     /// The budget of repeats to a service.
     pub fn repeats(&mut self, service: &str) -> &mut RepeatBudget {
         self.repeats.entry(hash_name(service)).or_default()
@@ -137,10 +154,16 @@
     }
 
     /// Deals each quota by the demand that all daemons report.
-    pub fn deal_quotas(&mut self, reports: &[(u64, DaemonReport)], elapsed: Duration) {
+    pub fn deal_quotas(
+        &mut self,
+        reports: &[(u64, DaemonReport)],
+        elapsed: Duration,
+        report_age: Duration,
+    ) {
         for (name, quota) in &mut self.quotas {
             let mut peers = PeerDemand {
                 daemons: reports.len() + 1,
+                report_age,
                 ..PeerDemand::default()
             };
             for (peer, report) in reports {
@@ -170,6 +193,8 @@
             .iter()
             .map(|service| self.supply(*service, &fleet.services[service]))
             .collect();
+        let credits = services.iter().zip(&supplies);
+        self.credits = credits.map(|(id, one)| (*id, one.capacity)).collect();
         let demands: Vec<ClassDemand> = fleet
             .classes
             .iter()
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -63,6 +63,7 @@
     peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
     by_service: RefCell<HashMap<String, Vec<Rc<Peer>>>>,
     listeners: RefCell<Vec<LinkSender>>,
+    control_time: Cell<Duration>,
     stopping: Cell<bool>,
     open_requests: Cell<u32>,
 }
@@ -97,6 +98,7 @@
             peers: RefCell::new(HashMap::new()),
             by_service: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
+            control_time: Cell::new(Duration::ZERO),
             stopping: Cell::new(false),
             open_requests: Cell::new(0),
         })
@@ -318,6 +320,7 @@
     /// Tells all daemons of this one's state without waiting for them to ask.
     pub fn announce(&self) {
         let report = self.report();
+        self.gate.borrow_mut().note_reported();
         for listener in self.listeners.borrow().iter() {
             let report = report.clone();
             let sequence = 0;
@@ -351,6 +354,25 @@
         })
     }
 
+    /// Whether this daemon reads the store for the fleet.
+    pub fn reads_store(&self) -> bool {
+        self.reads_store.get()
+    }
+
+    /// Time that the thread has spent on control: dealing shares and taking reports.
+    pub fn control_time(&self) -> Duration {
+        self.control_time.get()
+    }
+
+    /// Does some work of control and counts its time; nothing else runs on the thread meanwhile.
+    pub fn spend_control<T>(&self, work: impl FnOnce() -> T) -> T {
+        let begun = Instant::now();
+        let result = work();
+        self.control_time
+            .set(self.control_time.get() + begun.elapsed());
+        result
+    }
+
     /// Whether callers on this VM may send new work here.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && !self.proof_too_old()
