--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -1,45 +1,98 @@
 //! What a daemon shows of its state beside the counters of requests.
+//!
+//! The number of series depends on services, routes and ranks, and not on the size of the fleet.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
+use super::super::fleet::EndpointReport;
 use super::super::state::MeshState;
 
+/// What all endpoints of a service have and hold.
+#[derive(Debug, Default)]
+struct ServiceLoad {
+    endpoints: u32,
+    slots: u32,
+    in_hand: u32,
+}
+
+impl ServiceLoad {
+    fn add(&mut self, endpoint: &EndpointReport) {
+        self.endpoints += 1;
+        self.slots += endpoint.slots;
+        self.in_hand += endpoint.in_hand;
+    }
+}
+
 impl MeshState {
     /// All metrics in the text exposition format.
     pub fn render_metrics(&self) -> String {
         let mut text = self.metrics.render();
+        self.render_own(&mut text);
+        self.render_services(&mut text);
+        for (class, share) in self.gate.borrow().shares() {
+            let (route, rank) = (class.route, class.rank);
+            let labels = format!("{{route=\"{route}\",rank=\"{rank}\"}}");
+            write_figure(&mut text, "class_share", &labels, share);
+        }
+        text
+    }
+
+    fn render_own(&self, text: &mut String) {
         let proof = self.proof_age().map_or(-1.0, |age| age.as_secs_f64());
+        let peers = self.peers();
+        let ages = peers.iter().filter_map(|peer| peer.report_age());
+        let oldest = ages.max().map_or(-1.0, |age| age.as_secs_f64());
+        let executor = &self.executor;
+        let waiting = executor.in_hand().saturating_sub(executor.running());
         let figures = [
             ("config_version", self.config_version() as f64),
             ("config_proof_age_seconds", proof),
-            ("endpoint_in_hand", f64::from(self.executor.in_hand())),
-            ("endpoint_running", f64::from(self.executor.running())),
+            ("store_reader", f64::from(u8::from(self.reads_store()))),
+            ("endpoint_limit", f64::from(executor.limit())),
+            ("endpoint_running", f64::from(executor.running())),
+            ("endpoint_waiting", f64::from(waiting)),
             ("open_requests", f64::from(self.open_requests())),
+            ("known_daemons", peers.len() as f64 + 1.0),
             ("linked_daemons", self.daemons() as f64),
+            ("oldest_report_age_seconds", oldest),
+            ("control_seconds_total", self.control_time().as_secs_f64()),
         ];
         for (name, value) in figures {
-            // Writing to a string can't fail.
-            let _ = writeln!(text, "marigoldhatch_{name} {value}");
+            write_figure(text, name, "", value);
         }
-        for (class, share) in self.gate.borrow().shares() {
-            let (route, rank) = (class.route, class.rank);
-            let _ = writeln!(
-                text,
-                "marigoldhatch_class_share{{route=\"{route}\",rank=\"{rank}\"}} {share}"
-            );
+    }
+
+    fn render_services(&self, text: &mut String) {
+        let mut services: BTreeMap<String, ServiceLoad> = BTreeMap::new();
+        let mut add = |endpoint: &EndpointReport| {
+            let load = services.entry(endpoint.service.clone()).or_default();
+            load.add(endpoint);
+        };
+        if let Some(endpoint) = self.endpoint_report() {
+            add(&endpoint);
         }
         for peer in self.peers() {
-            let address = peer.address;
-            let (linked, load) = (u8::from(peer.sender().is_some()), peer.load());
-            let _ = writeln!(
-                text,
-                "marigoldhatch_peer_linked{{peer=\"{address}\"}} {linked}"
-            );
-            let _ = writeln!(
-                text,
-                "marigoldhatch_peer_in_hand{{peer=\"{address}\"}} {load}"
-            );
+            peer.with_report(|report| report.endpoint.as_ref().map(&mut add));
+        }
+        for (service, load) in services {
+            let labels = format!("{{service=\"{service}\"}}");
+            let ServiceLoad {
+                endpoints,
+                slots,
+                in_hand,
+            } = load;
+            write_figure(text, "service_endpoints", &labels, f64::from(endpoints));
+            write_figure(text, "service_slots", &labels, f64::from(slots));
+            write_figure(text, "service_in_hand", &labels, f64::from(in_hand));
+            if let Some(credit) = self.gate.borrow().credit(&service) {
+                write_figure(text, "service_credit", &labels, credit);
+            }
         }
-        text
     }
 }
+
+fn write_figure(text: &mut String, name: &str, labels: &str, value: f64) {
+    // Writing to a string can't fail.
+    let _ = writeln!(text, "marigoldhatch_{name}{labels} {value}");
+}
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -158,6 +158,11 @@
         self.slots.running()
     }
 
+    /// Calls that the endpoint is given at once.
+    pub fn limit(&self) -> u32 {
+        self.slots.limit()
+    }
+
     /// The request that a call of the endpoint with this deadline belongs to.
     pub fn find_parent(&self, deadline: Instant, attempt: &str) -> Option<(u64, CallOrigin)> {
         self.parents.borrow().find(deadline, attempt)
--- a/src/mesh/executor/slots.rs
+++ b/src/mesh/executor/slots.rs
@@ -69,6 +69,11 @@
         while self.pass_on() {}
     }
 
+    /// How many calls may run at once.
+    pub fn limit(&self) -> u32 {
+        self.state.borrow().limit
+    }
+
     /// Turns away all that wait, as their endpoint takes no new work.
     pub fn turn_away(&self) {
         let line = std::mem::take(&mut self.state.borrow_mut().line);
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -45,6 +45,7 @@
     incarnation: Cell<u64>,
     pending: RefCell<HashMap<u64, PendingCall>>,
     report: RefCell<Option<DaemonReport>>,
+    reported: Cell<Option<Instant>>,
     in_hand: Cell<u32>,
     sent_since: Cell<u32>,
 }
@@ -63,6 +64,7 @@
             incarnation: Cell::new(0),
             pending: RefCell::new(HashMap::new()),
             report: RefCell::new(None),
+            reported: Cell::new(None),
             in_hand: Cell::new(0),
             sent_since: Cell::new(0),
         }
@@ -135,9 +137,16 @@
             old.stopping != report.stopping || services(old) != services(&report)
         });
         *last = Some(report);
+        self.reported.set(Some(Instant::now()));
         changed
     }
 
+    /// Time since the last report, while the daemon is linked and has sent one.
+    pub fn report_age(&self) -> Option<Duration> {
+        self.with_report(|_| ())?;
+        Some(self.reported.get()?.elapsed())
+    }
+
     /// Notes the work in hand that came with an answer.
     pub fn note_load(&self, in_hand: u32) {
         self.in_hand.set(in_hand);
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod announcement;
 mod calls;
 mod judge;
+mod metrics;
 mod parents;
 mod peers;
 mod placement;
--- /dev/null
+++ b/tests/mesh/metrics.rs
@@ -0,0 +1,46 @@
+//! The series of a daemon are those an operator needs, and no more in a larger fleet.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use tokio::task::LocalSet;
+
+use super::proof::state;
+
+#[tokio::test]
+async fn queue_limit_ages_and_control_cost_are_shown() {
+    let text = state().render_metrics();
+    for name in [
+        "config_version",
+        "config_proof_age_seconds",
+        "store_reader",
+        "endpoint_limit",
+        "endpoint_running",
+        "endpoint_waiting",
+        "open_requests",
+        "known_daemons",
+        "linked_daemons",
+        "oldest_report_age_seconds",
+        "control_seconds_total",
+    ] {
+        let line = format!("marigoldhatch_{name} ");
+        assert!(text.contains(&line), "{name} is missing in:\n{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_larger_fleet_has_no_more_series() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let state = state();
+            let before = state.render_metrics().lines().count();
+            for port in 2..200 {
+                state.meet(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
+            }
+            let text = state.render_metrics();
+            assert!(text.contains("marigoldhatch_known_daemons 199"), "{text}");
+            assert_eq!(text.lines().count(), before);
+        })
+        .await;
+}
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -18,7 +18,8 @@
 
 const LIMIT: Duration = Duration::from_millis(4400);
 
-fn state() -> Rc<MeshState> {
+/// The state of a daemon that knows nothing yet.
+pub fn state() -> Rc<MeshState> {
     let name = HeaderName::from_static;
     let dialect = HeaderDialect {
         attempt: name("x-attempt"),
