Count the daemons that are known, not those that are linked, when a fleet starts again

Change: a daemon starts with the number of daemons that the store's list names, and with nothing saved up. A surge is reported only where the bucket was used, since own parts are expected.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -96,17 +96,18 @@
 
 impl QuotaShare {
     /// Starts with an empty bucket at the daemon's start: the bucket of a daemon that runs fills up
-    /// with its time, and one that restarts brings no new burst.
-    pub fn start() -> Self {
+    /// with its time, and one that restarts brings no new burst. The fleet has `daemons`, this one
+    /// included, as far as is known before any of them was heard.
+    pub fn start(daemons: usize) -> Self {
         Self {
             fleet_level: 0.0,
             own_level: 0.0,
-            unseen_level: OWN_FLOOR,
-            unseen_most: OWN_FLOOR,
+            unseen_level: 0.0,
+            unseen_most: 0.0,
             surging: false,
             own_rate: 0.0,
             peer_rate: 0.0,
-            daemons: 1,
+            daemons: daemons.max(1),
             usual_share: 0.0,
             report_age: FIRST_REPORT_AGE,
             asked: 0.0,
@@ -153,7 +154,8 @@
             return false;
         }
         self.unseen_level -= 1.0;
-        self.surging |= self.unseen_level < 1.0;
+        // What is admitted as an own part of the rate is expected by the others.
+        self.surging |= free && self.unseen_level < 1.0;
         self.fleet_level -= 1.0;
         self.own_level = (self.own_level - 1.0).max(0.0);
         self.admitted += 1;
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -59,6 +59,8 @@
 pub struct EntryGate {
     classes: HashMap<ClassKey, ClassState>,
     quotas: HashMap<u32, QuotaShare>,
+    /// Daemons that are known, linked or not, this one included.
+    fleet_size: usize,
     peer_admitted: HashMap<(u64, u32), u64>,
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
@@ -104,8 +106,9 @@
         tolerance: &QuotaTolerance,
         now: Duration,
     ) -> bool {
+        let fleet_size = self.fleet_size;
         let quota = self.quotas.entry(hash_name(name));
-        let share = quota.or_insert_with(QuotaShare::start);
+        let share = quota.or_insert_with(|| QuotaShare::start(fleet_size));
         share.admit(rule, tolerance, now)
     }
 
@@ -153,6 +156,11 @@
         }
     }
 
+    /// Notes how many daemons are known. Those that aren't linked yet serve their callers too.
+    pub fn set_fleet_size(&mut self, daemons: usize) {
+        self.fleet_size = daemons;
+    }
+
     /// Deals each quota by the demand that all daemons report.
     pub fn deal_quotas(
         &mut self,
@@ -162,7 +170,7 @@
     ) {
         for (name, quota) in &mut self.quotas {
             let mut peers = PeerDemand {
-                daemons: reports.len() + 1,
+                daemons: self.fleet_size.max(reports.len() + 1),
                 report_age,
                 ..PeerDemand::default()
             };
--- a/src/mesh/link/stream.rs
+++ b/src/mesh/link/stream.rs
@@ -75,8 +75,7 @@
     mut frames: mpsc::UnboundedReceiver<Bytes>,
 ) -> Result<()> {
     while let Some(first) = frames.recv().await {
-        // Tasks that are ready add their frames first, so that one write carries all of them.
-        tokio::task::yield_now().await;
+        // Frames of tasks that ran before this one are in the queue, and one write carries them all.
         writer.feed(first).await?;
         while let Ok(frame) = frames.try_recv() {
             writer.feed(frame).await?;
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -264,6 +264,7 @@
         }
         let peer = Rc::new(Peer::from_address(address));
         self.peers.borrow_mut().insert(address, peer.clone());
+        self.note_fleet_size();
         let event = LogEvent::MemberChanged.number();
         tracing::info!(event, peer = %address, "a daemon is known");
         let state = self.clone();
@@ -273,11 +274,17 @@
     /// Forgets a daemon that has been gone for long.
     pub fn forget(&self, address: SocketAddrV4) {
         self.peers.borrow_mut().remove(&address);
+        self.note_fleet_size();
         self.index_services();
         let event = LogEvent::MemberChanged.number();
         tracing::warn!(event, peer = %address, "a daemon is forgotten");
     }
 
+    fn note_fleet_size(&self) {
+        let known = self.peers.borrow().len() + 1;
+        self.gate.borrow_mut().set_fleet_size(known);
+    }
+
     /// The other daemons.
     pub fn peers(&self) -> Vec<Rc<Peer>> {
         self.peers.borrow().values().cloned().collect()
--- a/tests/mesh/quota.rs
+++ b/tests/mesh/quota.rs
@@ -18,6 +18,8 @@
 /// Deals by which reports are late in fleets of today, and in grown ones, whose pings are rarer.
 const LATE_DEALS: usize = 1;
 const GROWN_LATE_DEALS: usize = 3;
+/// Deals that links take to come up after a restart of the whole fleet.
+const UNLINKED_DEALS: usize = 3;
 /// From this size on a fleet counts as grown.
 const GROWN: usize = 50;
 /// Bounds of the platform: window, overage and slack.
@@ -35,6 +37,8 @@
     /// Demand and admitted requests of each daemon, the oldest report first.
     reports: VecDeque<Vec<(f64, u64)>>,
     late_deals: usize,
+    /// Deals until daemons that have just started hear of each other.
+    unlinked_deals: usize,
     taken: Vec<Vec<u64>>,
 }
 
@@ -46,9 +50,10 @@
             GROWN_LATE_DEALS
         };
         Self {
-            shares: (0..daemons).map(|_| QuotaShare::start()).collect(),
+            shares: (0..daemons).map(|_| QuotaShare::start(daemons)).collect(),
             reports: VecDeque::from(vec![vec![(0.0, 0); daemons]; late_deals]),
             late_deals,
+            unlinked_deals: 0,
             taken: vec![vec![0; daemons]; daemons],
         }
     }
@@ -56,6 +61,18 @@
     /// Each daemon learns what the others reported some deals ago.
     fn deal(&mut self) {
         let elapsed = STEP * DEAL_STEPS as u32;
+        if self.unlinked_deals > 0 {
+            self.unlinked_deals -= 1;
+            let (daemons, report_age) = (self.shares.len(), elapsed * self.late_deals as u32);
+            let unheard = PeerDemand {
+                daemons,
+                report_age,
+                ..PeerDemand::default()
+            };
+            let shares = self.shares.iter_mut();
+            shares.for_each(|share| share.learn(unheard, elapsed));
+            return;
+        }
         let late = self.reports.pop_front().expect("a report");
         let daemons = self.shares.len();
         let total_rate: f64 = late.iter().map(|one| one.0).sum();
@@ -89,9 +106,10 @@
         }
     }
 
-    /// All daemons are killed and start with nothing.
+    /// All daemons are killed and start with nothing; they know of each other and have no links yet.
     fn restart(&mut self) {
         *self = Self::of(self.shares.len());
+        self.unlinked_deals = UNLINKED_DEALS;
     }
 }
 
@@ -126,7 +144,7 @@
         }
         let lead = if begun.is_zero() { 8 } else { 0 };
         let now = Duration::from_secs(lead) + STEP * step as u32 - begun;
-        if step % DEAL_STEPS == 0 {
+        if step % DEAL_STEPS == DEAL_STEPS - 1 {
             fleet.deal();
         }
         let mean = demand(step / 100) * STEP.as_secs_f64();
@@ -229,7 +247,7 @@
         rate: 50.0,
         burst: 50.0,
     };
-    let mut share = QuotaShare::start();
+    let mut share = QuotaShare::start(13);
     share.learn(
         PeerDemand {
             rate: 400.0,
