Let a failed call raise an endpoint's measured latency

Cause of the scenario an_endpoint_that_hangs_costs_a_lookup_one_try failing beside load: an endpoint that has never answered had no latency and so the lowest cost of all. Each time its avoidance ended it was drawn in three of four choices, and the tries that failed used the retry budget up; the next lookups then ended with DeadlineTooShort or NoEndpoint. On a quiet machine ten lookups end within the first 200 ms of avoidance, which hides it.

Ruled out: load alone (the order of results shows refusals by code, not late answers).

Change: a failure sets the latency to the time that it took, if that is longer. A test of the measure failed first (cost 1e-4).

--- a/bench/src/policies/calls.rs
+++ b/bench/src/policies/calls.rs
@@ -217,7 +217,7 @@
         let measure = self.fleet.nodes[hop.from].measures.entry(node).or_default();
         match outcome {
             CallOutcome::Done => measure.succeed(elapsed),
-            CallOutcome::Lost => measure.fail(self.now),
+            CallOutcome::Lost => measure.fail(self.now, elapsed),
             CallOutcome::Refused | CallOutcome::NotSent | CallOutcome::RefusedBelow => {
                 measure.abandon();
             }
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -230,15 +230,20 @@
     fn note(&mut self, outcome: &AttemptOutcome) {
         self.noted = true;
         let now = self.state.shared.now();
+        let elapsed = self.started.elapsed();
         let mut measures = lock(&self.state.measures);
         let measure = measures.entry(self.executor).or_default();
         match outcome {
             AttemptOutcome::Answered(reply) if reply.code == ResultCode::Done => {
-                measure.succeed(self.started.elapsed());
+                measure.succeed(elapsed);
+            }
+            AttemptOutcome::Answered(reply) if is_fault(reply.code) => {
+                measure.fail(now, elapsed);
             }
-            AttemptOutcome::Answered(reply) if is_fault(reply.code) => measure.fail(now),
             AttemptOutcome::Answered(_) => measure.abandon(),
-            AttemptOutcome::NotSent | AttemptOutcome::Lost(_) => measure.fail(now),
+            AttemptOutcome::NotSent | AttemptOutcome::Lost(_) => {
+                measure.fail(now, elapsed);
+            }
         }
     }
 }
--- a/src/decisions/placement/measure.rs
+++ b/src/decisions/placement/measure.rs
@@ -43,9 +43,11 @@
         self.latency += LATENCY_WEIGHT * (sample - self.latency);
     }
 
-    /// Notes a call that got no answer, and avoids the endpoint for a while.
-    pub fn fail(&mut self, now: Duration) {
+    /// Notes a call that got no answer in `elapsed`, and avoids the endpoint for a while.
+    pub fn fail(&mut self, now: Duration, elapsed: Duration) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        // Without this an endpoint that has never answered would look like the fastest one.
+        self.latency = self.latency.max(elapsed.as_secs_f64());
         let doublings = self.failures.min(10);
         self.failures += 1;
         let avoid = MIN_AVOID.saturating_mul(1 << doublings).min(MAX_AVOID);
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -69,19 +69,34 @@
     let mut measure = EndpointMeasure::default();
     let now = Duration::from_secs(10);
     measure.start();
-    measure.fail(now);
+    measure.fail(now, Duration::ZERO);
     assert!(measure.is_avoided(now));
     assert!(!measure.is_avoided(now + Duration::from_millis(250)));
     measure.start();
-    measure.fail(now);
+    measure.fail(now, Duration::ZERO);
     assert!(measure.is_avoided(now + Duration::from_millis(250)));
     measure.start();
     measure.succeed(Duration::from_millis(5));
     measure.start();
-    measure.fail(now);
+    measure.fail(now, Duration::ZERO);
     assert!(!measure.is_avoided(now + Duration::from_millis(250)));
 }
 
+#[test]
+fn an_endpoint_that_has_answered_nothing_costs_more_than_one_that_answers() {
+    let now = Duration::from_secs(10);
+    let mut mute = EndpointMeasure::default();
+    mute.start();
+    mute.fail(now, Duration::from_millis(800));
+    let mut sound = EndpointMeasure::default();
+    sound.start();
+    sound.succeed(Duration::from_millis(5));
+    let later = now + Duration::from_secs(1);
+    assert!(!mute.is_avoided(later));
+    let (mute, sound) = (mute.cost(later, 8), sound.cost(later, 8));
+    assert!(mute > sound, "{mute} and {sound}");
+}
+
 #[test]
 fn an_old_report_is_trusted_less() {
     let mut measure = EndpointMeasure::default();
