Take an unknown fleet to be large until its daemons were looked up

Change: until the list is read, or 3 s are over, a fleet counts as 100 daemons; each request uses the size that is known then. A test of the gate counts what a daemon admits in its first half second.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Notes how many daemons there are as far as is known now; it may be known before they are heard.
+    pub fn expect_daemons(&mut self, daemons: usize) {
+        self.daemons = daemons.max(1);
+    }
+
     /// Requests that this daemon admitted since its start, for its report.
     pub fn admitted(&self) -> u64 {
         self.admitted
--- a/src/mesh/control/tick.rs
+++ b/src/mesh/control/tick.rs
@@ -10,6 +10,10 @@
 /// Time between two deals; reports of peers come about as often.
 const DEAL_EVERY: Duration = Duration::from_millis(250);
 
+/// If the daemons can't be looked up for this long, those that have linked to this one are taken to
+/// be all: a daemon that others know hears from them within their longest pause, 2 s.
+const LOOKUP_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Deals until the task is dropped.
 pub async fn keep_shares(state: Rc<MeshState>) {
     let mut last = state.now();
@@ -17,6 +21,9 @@
     loop {
         tokio::time::sleep(DEAL_EVERY).await;
         let now = state.now();
+        if now > LOOKUP_PATIENCE && !state.gate.borrow().knows_fleet() {
+            state.note_fleet_size();
+        }
         state.spend_control(|| deal(&state, now.saturating_sub(last)));
         last = now;
         if state.gate.borrow().is_surging() {
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -32,6 +32,9 @@
 const MICROSECONDS: f64 = 1e6;
 /// Shares above this refuse nobody.
 const WHOLE_SHARE: f64 = 0.999;
+/// Size that a fleet is taken to have before its daemons were looked up: as large as the largest of
+/// the users' deployments, since all of its daemons may have started at the same moment.
+const UNKNOWN_FLEET: usize = 100;
 /// Deals between two log lines about them.
 const DEALS_PER_LINE: u32 = 4;
 
@@ -59,8 +62,8 @@
 pub struct EntryGate {
     classes: HashMap<ClassKey, ClassState>,
     quotas: HashMap<u32, QuotaShare>,
-    /// Daemons that are known, linked or not, this one included.
-    fleet_size: usize,
+    /// Daemons that are known, linked or not, this one included; none before they were looked up.
+    fleet_size: Option<usize>,
     peer_admitted: HashMap<(u64, u32), u64>,
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
@@ -106,9 +109,10 @@
         tolerance: &QuotaTolerance,
         now: Duration,
     ) -> bool {
-        let fleet_size = self.fleet_size;
+        let daemons = self.fleet_size.unwrap_or(UNKNOWN_FLEET);
         let quota = self.quotas.entry(hash_name(name));
-        let share = quota.or_insert_with(|| QuotaShare::start(fleet_size));
+        let share = quota.or_insert_with(|| QuotaShare::start(daemons));
+        share.expect_daemons(daemons);
         share.admit(rule, tolerance, now)
     }
 
@@ -158,7 +162,17 @@
 
     /// Notes how many daemons are known. Those that aren't linked yet serve their callers too.
     pub fn set_fleet_size(&mut self, daemons: usize) {
-        self.fleet_size = daemons;
+        self.fleet_size = Some(daemons);
+    }
+
+    /// Whether the size of the fleet is known.
+    pub fn knows_fleet(&self) -> bool {
+        self.fleet_size.is_some()
+    }
+
+    /// Notes that at least so many daemons are known.
+    pub fn grow_fleet(&mut self, daemons: usize) {
+        self.fleet_size = self.fleet_size.map(|known| known.max(daemons));
     }
 
     /// Deals each quota by the demand that all daemons report.
@@ -170,7 +184,7 @@
     ) {
         for (name, quota) in &mut self.quotas {
             let mut peers = PeerDemand {
-                daemons: self.fleet_size.max(reports.len() + 1),
+                daemons: self.fleet_size.unwrap_or(UNKNOWN_FLEET),
                 report_age,
                 ..PeerDemand::default()
             };
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -264,7 +264,9 @@
         }
         let peer = Rc::new(Peer::from_address(address));
         self.peers.borrow_mut().insert(address, peer.clone());
-        self.note_fleet_size();
+        self.gate
+            .borrow_mut()
+            .grow_fleet(self.peers.borrow().len() + 1);
         let event = LogEvent::MemberChanged.number();
         tracing::info!(event, peer = %address, "a daemon is known");
         let state = self.clone();
@@ -280,7 +282,8 @@
         tracing::warn!(event, peer = %address, "a daemon is forgotten");
     }
 
-    fn note_fleet_size(&self) {
+    /// Notes that the daemons of the fleet were looked up and that all of them are known.
+    pub fn note_fleet_size(&self) {
         let known = self.peers.borrow().len() + 1;
         self.gate.borrow_mut().set_fleet_size(known);
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod calls;
+mod gate;
 mod judge;
 mod metrics;
 mod parents;
