--- a/bench/src/handlings/forward.rs
+++ b/bench/src/handlings/forward.rs
@@ -30,10 +30,10 @@
     serve(address, stop, |request| async move {
         let mut answer = Response::new(Full::new(Bytes::from_static(ANSWER)));
         let headers = answer.headers_mut();
-        if let Some(attempt) = request.headers().get("x-attempt-id") {
-            headers.insert("x-attempt-id", attempt.clone());
+        if let Some(attempt) = request.headers().get("x-attempt") {
+            headers.insert("x-attempt", attempt.clone());
         }
-        headers.insert("x-response-seal", "1.2.3".parse().expect("a value"));
+        headers.insert("x-seal", "1.2.3".parse().expect("a value"));
         answer
     })
     .await;
--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -246,12 +246,12 @@
 
 fn dialect() -> HeaderDialect {
     HeaderDialect {
-        attempt: HeaderName::from_static("x-attempt-id"),
-        deadline: HeaderName::from_static("x-deadline-ms"),
-        expected_endpoint: HeaderName::from_static("x-expected-instance"),
-        organisation: HeaderName::from_static("x-tenant-name"),
-        caller_service: HeaderName::from_static("x-caller-service"),
-        not_executed: HeaderName::from_static("x-not-executed"),
-        answer_seal: HeaderName::from_static("x-response-seal"),
+        attempt: HeaderName::from_static("x-attempt"),
+        deadline: HeaderName::from_static("x-deadline"),
+        expected_endpoint: HeaderName::from_static("x-expected"),
+        organisation: HeaderName::from_static("x-organisation"),
+        caller_service: HeaderName::from_static("x-caller"),
+        not_executed: HeaderName::from_static("x-not-run"),
+        answer_seal: HeaderName::from_static("x-seal"),
     }
 }
