Share the budget of repeats among all known daemons, not the linked ones

Cause, found by reading: the size of the fleet was mended for quotas only. The budget of repeats still divided its slack by the daemons that are linked, so after a restart of the whole fleet each daemon took the whole slack (28 repeats of 48 each). A test of one daemon before and after the lookup failed first.

Change: the size is derived in one place, from the known daemons and whether they were looked up (MeshState::fleet_size), and handed to quotas and repeats; the gate no longer keeps a copy of it.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -67,8 +67,6 @@
     pub rate: f64,
     /// Requests that they admitted since the last report.
     pub admitted: f64,
-    /// Daemons that may serve the organisation, this one included.
-    pub daemons: usize,
     /// How old reports get before the next ones come.
     pub report_age: Duration,
 }
@@ -96,9 +94,8 @@
 
 impl QuotaShare {
     /// Starts with an empty bucket at the daemon's start: the bucket of a daemon that runs fills up
-    /// with its time, and one that restarts brings no new burst. The fleet has `daemons`, this one
-    /// included, as far as is known before any of them was heard.
-    pub fn start(daemons: usize) -> Self {
+    /// with its time, and one that restarts brings no new burst.
+    pub fn start() -> Self {
         Self {
             fleet_level: 0.0,
             own_level: 0.0,
@@ -107,7 +104,7 @@
             surging: false,
             own_rate: 0.0,
             peer_rate: 0.0,
-            daemons: daemons.max(1),
+            daemons: 1,
             usual_share: 0.0,
             report_age: FIRST_REPORT_AGE,
             asked: 0.0,
@@ -116,8 +113,8 @@
         }
     }
 
-    /// Notes how many daemons there are as far as is known now; it may be known before they are heard.
-    pub fn expect_daemons(&mut self, daemons: usize) {
+    /// Sets how many daemons may serve the organisation, this one included, heard of or not.
+    pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
     }
 
@@ -174,7 +171,6 @@
         self.own_rate += weight * (self.asked / seconds - self.own_rate);
         self.asked = 0.0;
         self.peer_rate = peers.rate;
-        self.daemons = peers.daemons.max(1);
         self.report_age = peers.report_age;
         // Own demand is known sooner than that of others, so a surge everywhere looks like one here.
         let weight = (seconds / SHARE_MEMORY.as_secs_f64()).min(1.0);
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -54,7 +54,7 @@
             ("endpoint_waiting", f64::from(waiting)),
             ("open_requests", f64::from(self.open_requests())),
             ("known_daemons", peers.len() as f64 + 1.0),
-            ("linked_daemons", self.daemons() as f64),
+            ("linked_daemons", self.linked_daemons() as f64),
             ("oldest_report_age_seconds", oldest),
             ("control_seconds_total", self.control_time().as_secs_f64()),
         ];
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -90,7 +90,7 @@
 }
 
 async fn run_link(state: &Rc<MeshState>, peer: &Peer, mut reader: LinkReader, sender: LinkSender) {
-    let interval = ping_interval(state.daemons());
+    let interval = ping_interval(state.linked_daemons());
     let mut link = LinkTask {
         state: state.clone(),
         sequence: 0,
--- a/src/mesh/control/tick.rs
+++ b/src/mesh/control/tick.rs
@@ -21,8 +21,8 @@
     loop {
         tokio::time::sleep(DEAL_EVERY).await;
         let now = state.now();
-        if now > LOOKUP_PATIENCE && !state.gate.borrow().knows_fleet() {
-            state.note_fleet_size();
+        if now > LOOKUP_PATIENCE {
+            state.note_looked_up();
         }
         state.spend_control(|| deal(&state, now.saturating_sub(last)));
         last = now;
@@ -51,10 +51,7 @@
     let mut gate = state.gate.borrow_mut();
     gate.measure(elapsed);
     let own = state.endpoint_report();
-    gate.deal_quotas(
-        &reports,
-        elapsed,
-        ping_interval(reports.len() + 1) + elapsed,
-    );
+    let report_age = ping_interval(reports.len() + 1) + elapsed;
+    gate.deal_quotas(&reports, state.fleet_size(), elapsed, report_age);
     gate.deal_classes(&reports, own.as_ref());
 }
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -127,8 +127,9 @@
         return true;
     };
     let tolerance = state.settings().quota_tolerance;
+    let daemons = state.fleet_size();
     let mut gate = state.gate.borrow_mut();
-    gate.admit_organisation(&owner.name, rule, &tolerance, state.now())
+    gate.admit_organisation(&owner.name, rule, &tolerance, daemons, state.now())
 }
 
 fn find_organisation<'a>(
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -32,9 +32,6 @@
 const MICROSECONDS: f64 = 1e6;
 /// Shares above this refuse nobody.
 const WHOLE_SHARE: f64 = 0.999;
-/// Size that a fleet is taken to have before its daemons were looked up: as large as the largest of
-/// the users' deployments, since all of its daemons may have started at the same moment.
-const UNKNOWN_FLEET: usize = 100;
 /// Deals between two log lines about them.
 const DEALS_PER_LINE: u32 = 4;
 
@@ -62,8 +59,6 @@
 pub struct EntryGate {
     classes: HashMap<ClassKey, ClassState>,
     quotas: HashMap<u32, QuotaShare>,
-    /// Daemons that are known, linked or not, this one included; none before they were looked up.
-    fleet_size: Option<usize>,
     peer_admitted: HashMap<(u64, u32), u64>,
     costs: TreeCosts,
     trims: HashMap<u32, SupplyTrim>,
@@ -101,18 +96,18 @@
         self.classes.get(&class).map_or(1.0, |state| state.share)
     }
 
-    /// Charges an organisation's quota, if it has room.
+    /// Charges an organisation's quota, if it has room, at one of `daemons` that share it.
     pub fn admit_organisation(
         &mut self,
         name: &str,
         rule: &QuotaRule,
         tolerance: &QuotaTolerance,
+        daemons: usize,
         now: Duration,
     ) -> bool {
-        let daemons = self.fleet_size.unwrap_or(UNKNOWN_FLEET);
         let quota = self.quotas.entry(hash_name(name));
-        let share = quota.or_insert_with(|| QuotaShare::start(daemons));
-        share.expect_daemons(daemons);
+        let share = quota.or_insert_with(QuotaShare::start);
+        share.set_daemons(daemons);
         share.admit(rule, tolerance, now)
     }
 
@@ -160,31 +155,16 @@
         }
     }
 
-    /// Notes how many daemons are known. Those that aren't linked yet serve their callers too.
-    pub fn set_fleet_size(&mut self, daemons: usize) {
-        self.fleet_size = Some(daemons);
-    }
-
-    /// Whether the size of the fleet is known.
-    pub fn knows_fleet(&self) -> bool {
-        self.fleet_size.is_some()
-    }
-
-    /// Notes that at least so many daemons are known.
-    pub fn grow_fleet(&mut self, daemons: usize) {
-        self.fleet_size = self.fleet_size.map(|known| known.max(daemons));
-    }
-
-    /// Deals each quota by the demand that all daemons report.
+    /// Deals each quota by the demand that all of `daemons` report.
     pub fn deal_quotas(
         &mut self,
         reports: &[(u64, DaemonReport)],
+        daemons: usize,
         elapsed: Duration,
         report_age: Duration,
     ) {
         for (name, quota) in &mut self.quotas {
             let mut peers = PeerDemand {
-                daemons: self.fleet_size.unwrap_or(UNKNOWN_FLEET),
                 report_age,
                 ..PeerDemand::default()
             };
@@ -199,6 +179,7 @@
                 let new = last.map_or(0, |last| demand.admitted.saturating_sub(last));
                 peers.admitted += new as f64;
             }
+            quota.set_daemons(daemons);
             quota.learn(peers, elapsed);
         }
     }
--- a/src/mesh/entry/place.rs
+++ b/src/mesh/entry/place.rs
@@ -87,7 +87,7 @@
         arrivals += 1;
         let again = (request.idempotent || !may_have_run)
             && arrivals < max_attempts
-            && spend_repeat(state, &request.service);
+            && state.spend_repeat(&request.service);
         if !again {
             return Err(code);
         }
@@ -110,13 +110,6 @@
     }
 }
 
-fn spend_repeat(state: &MeshState, service: &str) -> bool {
-    let rule = state.settings().repeat_rule;
-    let daemons = state.daemons();
-    let mut gate = state.gate.borrow_mut();
-    gate.spend_repeat(service, &rule, daemons, state.now())
-}
-
 async fn run_here(state: &MeshState, request: &CallRequest) -> PeerReply {
     let handed = Cell::new(false);
     PeerReply::Outcome(state.executor.run(request, &handed).await)
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -39,6 +39,10 @@
 /// A peer that was asked for its configuration has this long before another one is asked.
 const CONFIG_ASK_EVERY: Duration = Duration::from_millis(250);
 
+/// Size that a fleet is taken to have before its daemons were looked up: as large as the largest of
+/// the users' deployments.
+const UNKNOWN_FLEET: usize = 100;
+
 /// Reads a configuration as the platform keeps it.
 pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<MeshConfig, String>>;
 
@@ -64,6 +68,7 @@
     by_service: RefCell<HashMap<String, Vec<Rc<Peer>>>>,
     listeners: RefCell<Vec<LinkSender>>,
     control_time: Cell<Duration>,
+    looked_up: Cell<bool>,
     stopping: Cell<bool>,
     open_requests: Cell<u32>,
 }
@@ -99,6 +104,7 @@
             by_service: RefCell::new(HashMap::new()),
             listeners: RefCell::new(Vec::new()),
             control_time: Cell::new(Duration::ZERO),
+            looked_up: Cell::new(false),
             stopping: Cell::new(false),
             open_requests: Cell::new(0),
         })
@@ -264,9 +270,6 @@
         }
         let peer = Rc::new(Peer::from_address(address));
         self.peers.borrow_mut().insert(address, peer.clone());
-        self.gate
-            .borrow_mut()
-            .grow_fleet(self.peers.borrow().len() + 1);
         let event = LogEvent::MemberChanged.number();
         tracing::info!(event, peer = %address, "a daemon is known");
         let state = self.clone();
@@ -276,16 +279,25 @@
     /// Forgets a daemon that has been gone for long.
     pub fn forget(&self, address: SocketAddrV4) {
         self.peers.borrow_mut().remove(&address);
-        self.note_fleet_size();
         self.index_services();
         let event = LogEvent::MemberChanged.number();
         tracing::warn!(event, peer = %address, "a daemon is forgotten");
     }
 
-    /// Notes that the daemons of the fleet were looked up and that all of them are known.
-    pub fn note_fleet_size(&self) {
-        let known = self.peers.borrow().len() + 1;
-        self.gate.borrow_mut().set_fleet_size(known);
+    /// Notes that the daemons of the fleet were looked up, so that all of them are known.
+    pub fn note_looked_up(&self) {
+        self.looked_up.set(true);
+    }
+
+    /// Daemons that share what the fleet may spend, this one included. Those that aren't linked yet
+    /// serve their callers too, and before the lookup all of them may have just started.
+    pub fn fleet_size(&self) -> usize {
+        let known = 1 + self.peers.borrow().len();
+        if self.looked_up.get() {
+            known
+        } else {
+            known.max(UNKNOWN_FLEET)
+        }
     }
 
     /// The other daemons.
@@ -294,11 +306,19 @@
     }
 
     /// Daemons that are linked, this one included.
-    pub fn daemons(&self) -> usize {
+    pub fn linked_daemons(&self) -> usize {
         let peers = self.peers.borrow();
         1 + peers.values().filter(|one| one.sender().is_some()).count()
     }
 
+    /// Spends one repeat to a service from this daemon's part of the budget, if that has room.
+    pub fn spend_repeat(&self, service: &str) -> bool {
+        let rule = self.settings().repeat_rule;
+        let daemons = self.fleet_size();
+        let mut gate = self.gate.borrow_mut();
+        gate.spend_repeat(service, &rule, daemons, self.now())
+    }
+
     /// Runs `read` on the daemons beside endpoints of a service that take new work.
     pub fn with_executors<T>(&self, service: &str, read: impl FnOnce(&[Rc<Peer>]) -> T) -> T {
         let index = self.by_service.borrow();
--- a/tests/mesh/gate.rs
+++ b/tests/mesh/gate.rs
@@ -6,6 +6,8 @@
 use marigoldhatch::decisions::quota::QuotaTolerance;
 use marigoldhatch::mesh::entry::EntryGate;
 
+use super::proof::state;
+
 const RULE: QuotaRule = QuotaRule {
     rate: 444.0,
     burst: 444.0,
@@ -17,32 +19,31 @@
 };
 
 /// Requests admitted while far more than the rate comes for half a second from the start on.
-fn admitted(gate: &mut EntryGate) -> usize {
+fn admitted(gate: &mut EntryGate, daemons: usize) -> usize {
     let times = (0..500).map(Duration::from_millis);
-    let admitted = times.filter(|now| gate.admit_organisation("first", &RULE, &TOLERANCE, *now));
+    let admitted =
+        times.filter(|now| gate.admit_organisation("first", &RULE, &TOLERANCE, daemons, *now));
     admitted.count()
 }
 
-#[test]
-fn before_the_fleet_is_looked_up_a_daemon_does_not_take_itself_for_the_only_one() {
+#[tokio::test]
+async fn before_the_fleet_is_looked_up_a_daemon_does_not_take_itself_for_the_only_one() {
     // 73 daemons that start together must not exceed what is left of the bound in a window: 730.
-    assert!(admitted(&mut EntryGate::default()) <= 10);
+    let daemons = state().fleet_size();
+    assert!(admitted(&mut EntryGate::default(), daemons) <= 10);
 }
 
 #[test]
 fn the_only_daemon_of_a_fleet_gives_the_whole_rate() {
-    let mut gate = EntryGate::default();
-    gate.set_fleet_size(1);
-    let admitted = admitted(&mut gate);
+    let admitted = admitted(&mut EntryGate::default(), 1);
     assert!(admitted >= 200, "{admitted} in half a second");
 }
 
 #[test]
 fn a_fleet_that_is_looked_up_while_requests_come_counts_at_once() {
     let mut gate = EntryGate::default();
-    gate.set_fleet_size(1);
-    assert!(gate.admit_organisation("first", &RULE, &TOLERANCE, Duration::from_millis(20)));
-    gate.set_fleet_size(73);
-    let admitted = admitted(&mut gate);
+    let now = Duration::from_millis(20);
+    assert!(gate.admit_organisation("first", &RULE, &TOLERANCE, 1, now));
+    let admitted = admitted(&mut gate, 73);
     assert!(admitted <= 40, "{admitted} in half a second");
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod calls;
+mod fleet_size;
 mod gate;
 mod judge;
 mod metrics;
--- a/tests/mesh/quota.rs
+++ b/tests/mesh/quota.rs
@@ -32,6 +32,12 @@
     slack: SLACK,
 };
 
+fn start_share(daemons: usize) -> QuotaShare {
+    let mut share = QuotaShare::start();
+    share.set_daemons(daemons);
+    share
+}
+
 struct QuotaFleet {
     shares: Vec<QuotaShare>,
     /// Demand and admitted requests of each daemon, the oldest report first.
@@ -50,7 +56,7 @@
             GROWN_LATE_DEALS
         };
         Self {
-            shares: (0..daemons).map(|_| QuotaShare::start(daemons)).collect(),
+            shares: (0..daemons).map(|_| start_share(daemons)).collect(),
             reports: VecDeque::from(vec![vec![(0.0, 0); daemons]; late_deals]),
             late_deals,
             unlinked_deals: 0,
@@ -63,10 +69,8 @@
         let elapsed = STEP * DEAL_STEPS as u32;
         if self.unlinked_deals > 0 {
             self.unlinked_deals -= 1;
-            let (daemons, report_age) = (self.shares.len(), elapsed * self.late_deals as u32);
             let unheard = PeerDemand {
-                daemons,
-                report_age,
+                report_age: elapsed * self.late_deals as u32,
                 ..PeerDemand::default()
             };
             let shares = self.shares.iter_mut();
@@ -74,7 +78,6 @@
             return;
         }
         let late = self.reports.pop_front().expect("a report");
-        let daemons = self.shares.len();
         let total_rate: f64 = late.iter().map(|one| one.0).sum();
         for (index, share) in self.shares.iter_mut().enumerate() {
             let mut admitted = 0;
@@ -86,7 +89,6 @@
             let peers = PeerDemand {
                 rate: total_rate - late[index].0,
                 admitted: admitted as f64,
-                daemons,
                 report_age: elapsed * self.late_deals as u32,
             };
             share.learn(peers, elapsed);
@@ -247,12 +249,11 @@
         rate: 50.0,
         burst: 50.0,
     };
-    let mut share = QuotaShare::start(13);
+    let mut share = start_share(13);
     share.learn(
         PeerDemand {
             rate: 400.0,
             admitted: 0.0,
-            daemons: 13,
             report_age: Duration::from_millis(400),
         },
         Duration::from_millis(250),
