--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -56,6 +56,8 @@
     pub retry_after: Option<Duration>,
     /// The share that was dealt to the request's class.
     pub share: f64,
+    /// Levels of the organisation's bucket and of this daemon's own part, if the quota refused it.
+    pub quota: Option<(f64, f64)>,
     pub route: String,
     pub organisation: String,
 }
@@ -80,10 +82,13 @@
     let refuse = |code, share| {
         let left = asked.unwrap_or(route.timeout);
         let retry_after = retry_after(state, route.latency_target, left);
+        let over_rate = organisation.filter(|_| code == ResultCode::OverRate);
+        let quota = over_rate.and_then(|one| state.gate.borrow().quota_levels(&one.name));
         Err(Box::new(RefusedRequest {
             code,
             retry_after: Some(retry_after),
             share,
+            quota,
             route: route.name.clone(),
             organisation: organisation.map_or(String::new(), |one| one.name.clone()),
         }))
@@ -200,6 +205,7 @@
         code,
         retry_after,
         share: 1.0,
+        quota: None,
         route: route.to_owned(),
         organisation: String::new(),
     })
--- a/src/mesh/entry/gate.rs
+++ b/src/mesh/entry/gate.rs
@@ -122,6 +122,11 @@
         surging.for_each(QuotaShare::note_reported);
     }
 
+    /// Levels of an organisation's bucket and of this daemon's own part, for log lines.
+    pub fn quota_levels(&self, name: &str) -> Option<(f64, f64)> {
+        Some(self.quotas.get(&hash_name(name))?.levels())
+    }
+
     /// The budget of repeats to a service.
     pub fn repeats(&mut self, service: &str) -> &mut RepeatBudget {
         self.repeats.entry(hash_name(service)).or_default()
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -230,8 +230,7 @@
         }
         Err(code) => {
             let event = LogEvent::CallRefused.number();
-            let config = state.config_version();
-            let proof_ms = state.proof_age().map(|age| age.as_millis() as u64);
+            let (config, proof_ms) = config_inputs(state);
             tracing::warn!(
                 event,
                 id,
@@ -266,18 +265,25 @@
     }
 }
 
+/// The version in force and the age of its proof in milliseconds, for log lines.
+fn config_inputs(state: &MeshState) -> (u64, Option<u64>) {
+    let proof_ms = state.proof_age().map(|age| age.as_millis() as u64);
+    (state.config_version(), proof_ms)
+}
+
 fn refuse(state: &MeshState, headers: &HeaderMap, refused: &RefusedRequest) -> CallerAnswer {
     let event = LogEvent::CallRefused.number();
     let id = head::attempt_id(&state.dialect, headers);
-    let config = state.config_version();
-    let proof_ms = state.proof_age().map(|age| age.as_millis() as u64);
+    let (config, proof_ms) = config_inputs(state);
     let RefusedRequest {
         code,
         share,
         route,
         organisation,
+        quota,
         ..
     } = refused;
+    let (bucket_level, own_level) = quota.unzip();
     tracing::warn!(
         event,
         id,
@@ -285,6 +291,8 @@
         route,
         organisation,
         share,
+        bucket_level,
+        own_level,
         config,
         proof_ms,
         "refused"
--- a/tests/mesh/gate.rs
+++ b/tests/mesh/gate.rs
@@ -47,3 +47,13 @@
     let admitted = admitted(&mut gate, 73);
     assert!(admitted <= 40, "{admitted} in half a second");
 }
+
+#[test]
+fn the_levels_that_refused_a_request_can_be_told() {
+    let mut gate = EntryGate::default();
+    assert_eq!(gate.quota_levels("first"), None);
+    let admitted = admitted(&mut gate, 73);
+    assert!(admitted < 500, "some were refused");
+    let (_, own) = gate.quota_levels("first").expect("levels");
+    assert!(own < 1.0, "{own} left of the own part");
+}
