--- /dev/null
+++ b/src/mesh/state/mod.rs
@@ -0,0 +1,208 @@
+//! What all tasks of one daemon share; they run on one thread.
+
+mod configuration;
+mod fleet;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use tokio::time::Instant;
+
+use super::dialect::HeaderDialect;
+use super::entry::EntryGate;
+use super::executor::CallTable;
+use super::executor::EndpointExecutor;
+use super::fleet::DaemonReport;
+use super::fleet::EndpointReport;
+use super::fleet::MeshConfig;
+use super::fleet::Peer;
+use super::fleet::RouteTable;
+use super::link::LinkHello;
+use super::link::LinkSender;
+use super::settings::MeshSettings;
+use crate::observe::FleetMetrics;
+use crate::observe::LogEvent;
+
+/// Reads a configuration as the platform keeps it.
+pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<MeshConfig, String>>;
+
+/// The state of one daemon.
+pub struct MeshState {
+    settings: RefCell<Rc<MeshSettings>>,
+    pub dialect: HeaderDialect,
+    pub executor: EndpointExecutor,
+    pub calls: RefCell<CallTable>,
+    pub gate: RefCell<EntryGate>,
+    pub rng: RefCell<SmallRng>,
+    pub metrics: FleetMetrics,
+    started: Instant,
+    incarnation: u64,
+    next_call: Cell<u64>,
+    decode_config: ConfigDecoder,
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    raw_config: RefCell<Bytes>,
+    proven: Cell<Option<Duration>>,
+    reads_store: Cell<bool>,
+    config_asked: Cell<Option<Instant>>,
+    peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
+    by_service: RefCell<HashMap<String, Vec<Rc<Peer>>>>,
+    listeners: RefCell<Vec<LinkSender>>,
+    control_time: Cell<Duration>,
+    looked_up: Cell<bool>,
+    stopping: Cell<bool>,
+    open_requests: Cell<u32>,
+}
+
+impl MeshState {
+    /// Starts with no configuration, no endpoint and no peers.
+    pub fn start(
+        settings: MeshSettings,
+        dialect: HeaderDialect,
+        decode_config: ConfigDecoder,
+    ) -> Rc<Self> {
+        let mut rng = SmallRng::from_os_rng();
+        let incarnation = rng.random();
+        let executor = EndpointExecutor::start(dialect.clone(), settings.announce_interval);
+        Rc::new(Self {
+            settings: RefCell::new(Rc::new(settings)),
+            dialect,
+            executor,
+            calls: RefCell::new(CallTable::default()),
+            gate: RefCell::new(EntryGate::default()),
+            rng: RefCell::new(rng),
+            metrics: FleetMetrics::start(),
+            started: Instant::now(),
+            incarnation,
+            next_call: Cell::new(1),
+            decode_config,
+            routes: RefCell::new(None),
+            raw_config: RefCell::new(Bytes::new()),
+            proven: Cell::new(None),
+            reads_store: Cell::new(false),
+            config_asked: Cell::new(None),
+            peers: RefCell::new(HashMap::new()),
+            by_service: RefCell::new(HashMap::new()),
+            listeners: RefCell::new(Vec::new()),
+            control_time: Cell::new(Duration::ZERO),
+            looked_up: Cell::new(false),
+            stopping: Cell::new(false),
+            open_requests: Cell::new(0),
+        })
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<MeshSettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts changed settings in force; addresses stay as they were, since sockets are bound.
+    pub fn reload(&self, settings: MeshSettings) {
+        let event = LogEvent::SettingsReloaded.number();
+        tracing::warn!(event, ?settings, "the settings were read again");
+        let old = self.settings();
+        self.executor.set_interval(settings.announce_interval);
+        *self.settings.borrow_mut() = Rc::new(MeshSettings {
+            caller_address: old.caller_address,
+            link_address: old.link_address,
+            link_listen_address: old.link_listen_address,
+            ..settings
+        });
+    }
+
+    /// Time since the start of the daemon.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// A number for the next call that this daemon sends.
+    pub fn next_call(&self) -> u64 {
+        let call = self.next_call.get();
+        self.next_call.set(call + 1);
+        call
+    }
+
+    /// What a link begins with.
+    pub fn hello(&self) -> LinkHello {
+        LinkHello {
+            incarnation: self.incarnation,
+            address: self.settings().link_address,
+            known: self.peers.borrow().keys().copied().collect(),
+        }
+    }
+
+    /// What this daemon says of itself.
+    pub fn report(&self) -> DaemonReport {
+        let gate = self.gate.borrow();
+        DaemonReport {
+            stopping: self.stopping.get(),
+            config_version: self.config_version(),
+            proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32),
+            reads_store: self.reads_store.get(),
+            endpoint: self.endpoint_report(),
+            organisations: gate.organisation_demand(),
+            classes: gate.class_rates(),
+        }
+    }
+
+    /// The endpoint beside this daemon, while it may get new work.
+    pub fn endpoint_report(&self) -> Option<EndpointReport> {
+        let (beat, cold) = self.executor.usable()?;
+        Some(EndpointReport {
+            service: beat.service,
+            failure_domain: self.settings().failure_domain.clone(),
+            slots: beat.slots,
+            cold: !cold.is_zero(),
+            in_hand: self.executor.in_hand(),
+        })
+    }
+
+    /// Time that the thread has spent on control: dealing shares and taking reports.
+    pub fn control_time(&self) -> Duration {
+        self.control_time.get()
+    }
+
+    /// Does some work of control and counts its time; nothing else runs on the thread meanwhile.
+    pub fn spend_control<T>(&self, work: impl FnOnce() -> T) -> T {
+        let begun = Instant::now();
+        let result = work();
+        self.control_time
+            .set(self.control_time.get() + begun.elapsed());
+        result
+    }
+
+    /// Whether callers on this VM may send new work here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && !self.proof_too_old()
+    }
+
+    /// Whether the daemon was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Takes no new work for the endpoint and tells all daemons so.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.executor.stop();
+        self.announce();
+    }
+
+    /// Requests of callers that have no answer yet.
+    pub fn open_requests(&self) -> u32 {
+        self.open_requests.get()
+    }
+
+    /// Counts a request of a caller that is being answered.
+    pub fn open_request(&self, change: i32) {
+        let open = self.open_requests.get();
+        self.open_requests.set(open.saturating_add_signed(change));
+    }
+}
