--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -15,18 +15,16 @@
 use std::time::Instant;
 
 use hyper::body::Bytes;
-use hyper::header::HeaderName;
 use marigoldhatch::decisions::announcement::EndpointBeat;
 use marigoldhatch::decisions::announcement::EndpointState;
-use marigoldhatch::decisions::quota::QuotaTolerance;
-use marigoldhatch::decisions::retries::RepeatRule;
 use marigoldhatch::mesh::fleet::CallerLimits;
 use marigoldhatch::mesh::fleet::MeshConfig;
 use marigoldhatch::mesh::fleet::RoutePart;
 use marigoldhatch::mesh::fleet::RouteRule;
-use marigoldhatch::mesh::HeaderDialect;
 use marigoldhatch::mesh::MeshDaemon;
 use marigoldhatch::mesh::MeshSettings;
+use marigoldhatch_standins::mesh::loopback_settings;
+use marigoldhatch_standins::mesh::plain_dialect;
 use tokio::sync::oneshot;
 
 use forward::serve_endpoint;
@@ -154,7 +152,7 @@
 
 async fn serve_daemon(place: DaemonPlace, stop: oneshot::Receiver<()>) {
     let decode = Box::new(|_: &[u8]| Ok(configuration()));
-    let daemon = MeshDaemon::start(settings(place.callers, place.link), dialect(), decode)
+    let daemon = MeshDaemon::start(settings(place.callers, place.link), plain_dialect(), decode)
         .expect("the addresses are free");
     let state = daemon.state().clone();
     state.apply_config(&Bytes::from_static(b"bench"), "bench");
@@ -189,29 +187,14 @@
 }
 
 fn settings(callers: SocketAddr, link: SocketAddrV4) -> MeshSettings {
-    let SocketAddr::V4(caller_address) = callers else {
+    let SocketAddr::V4(callers) = callers else {
         panic!("{callers} is no IPv4 address");
     };
     MeshSettings {
-        vm: link.to_string(),
-        failure_domain: "one".to_owned(),
-        service: SERVICE.to_owned(),
-        caller_address,
-        link_address: link,
-        link_listen_address: link,
+        // Nothing announces or proves anything anew while a measurement runs.
         announce_interval: Duration::from_secs(3600),
         proof_age_limit: Duration::from_secs(3600),
-        repeat_rule: RepeatRule {
-            ratio: 0.2,
-            slack: 50.0,
-            window: Duration::from_secs(10),
-        },
-        quota_tolerance: QuotaTolerance {
-            window: Duration::from_secs(5),
-            overage: 0.1,
-            slack: 20.0,
-        },
-        stop_grace: Duration::from_secs(6),
+        ..loopback_settings(SERVICE, callers, link)
     }
 }
 
@@ -243,15 +226,3 @@
         },
     }
 }
-
-fn dialect() -> HeaderDialect {
-    HeaderDialect {
-        attempt: HeaderName::from_static("x-attempt"),
-        deadline: HeaderName::from_static("x-deadline"),
-        expected_endpoint: HeaderName::from_static("x-expected"),
-        organisation: HeaderName::from_static("x-organisation"),
-        caller_service: HeaderName::from_static("x-caller"),
-        not_executed: HeaderName::from_static("x-not-run"),
-        answer_seal: HeaderName::from_static("x-seal"),
-    }
-}
--- a/src/daemon/traffic/dispatch.rs
+++ b/src/daemon/traffic/dispatch.rs
@@ -106,7 +106,7 @@
             }
             AttemptOutcome::Lost(error) => {
                 note_lost(&target, error);
-                StoredReply::from_code(code_of_loss(error), 0)
+                StoredReply::from_code(error.code(), 0)
             }
         };
         if !may_retry(reply.code) || Instant::now() >= call.deadline {
@@ -121,17 +121,6 @@
     }
 }
 
-/// The code that a lost try leaves its caller with.
-pub fn code_of_loss(error: SendError) -> ResultCode {
-    match error {
-        SendError::NotSent(_) => ResultCode::NoEndpoint,
-        SendError::Lost(_) => ResultCode::ConnectionLost,
-        SendError::TimedOut(_) => ResultCode::DeadlinePassed,
-        SendError::TooLarge(_) => ResultCode::AnswerTooLarge,
-        SendError::Cut(_) => ResultCode::AnswerCut,
-    }
-}
-
 /// Notes a try that got no answer, for the log.
 pub fn note_lost(target: &EndpointEntry, error: SendError) {
     info!(event = LogEvent::ConnectionSilent.number(), executor = %target.incarnation,
--- a/src/daemon/traffic/entry.rs
+++ b/src/daemon/traffic/entry.rs
@@ -134,13 +134,7 @@
     }
     let options = &state.shared.options;
     let body = request::read_body(body, options.max_body_bytes, options.body_timeout).await?;
-    let clean = CleanRequest::from_parts(
-        head.method.clone(),
-        head.uri.path(),
-        head.uri.query(),
-        head.headers.clone(),
-        body,
-    )?;
+    let clean = CleanRequest::from_head(head, body)?;
     let call = place(entry, identity, parent.as_deref(), head, clean, deadline)?;
     if state.shared.is_stopping() && door == RequestDoor::Caller {
         return Ok(owned::refuse(state, &call, ResultCode::Stopping, 0).await);
--- a/src/daemon/traffic/executor.rs
+++ b/src/daemon/traffic/executor.rs
@@ -111,13 +111,7 @@
     if envelope.executor != state.shared.incarnation {
         return Err(ResultCode::NotOwner);
     }
-    let clean = CleanRequest::from_parts(
-        head.method.clone(),
-        head.uri.path(),
-        head.uri.query(),
-        head.headers.clone(),
-        body,
-    )?;
+    let clean = CleanRequest::from_head(head, body)?;
     Ok((envelope, clean))
 }
 
--- a/src/daemon/traffic/owned.rs
+++ b/src/daemon/traffic/owned.rs
@@ -198,7 +198,7 @@
         AttemptOutcome::Lost(error) => {
             dispatch::note_lost(target, error);
             search.handed_over = true;
-            search.last = dispatch::code_of_loss(error);
+            search.last = error.code();
             None
         }
     }
--- a/src/daemon/traffic/request.rs
+++ b/src/daemon/traffic/request.rs
@@ -8,6 +8,7 @@
 use hyper::body::Body;
 use hyper::body::Bytes;
 use hyper::header::HeaderMap;
+use hyper::http::request::Parts;
 use hyper::Method;
 use uuid::Uuid;
 
@@ -29,13 +30,9 @@
 
 impl CleanRequest {
     /// Strips a request and refuses it if a key is left where it can't be stripped.
-    pub fn from_parts(
-        method: Method,
-        path: &str,
-        query: Option<&str>,
-        mut headers: HeaderMap,
-        body: Bytes,
-    ) -> Result<Self, ResultCode> {
+    pub fn from_head(head: &Parts, body: Bytes) -> Result<Self, ResultCode> {
+        let (path, query) = (head.uri.path(), head.uri.query());
+        let mut headers = head.headers.clone();
         headers::strip_hop_by_hop(&mut headers);
         headers::strip_internal(&mut headers);
         headers::strip_addressing(&mut headers);
@@ -48,7 +45,7 @@
             None => path.to_string(),
         };
         Ok(Self {
-            method,
+            method: head.method.clone(),
             target,
             headers,
             body,
--- a/src/daemon/traffic/run.rs
+++ b/src/daemon/traffic/run.rs
@@ -109,22 +109,12 @@
         }
         Err(error) => {
             place.finish(false);
-            reply.code = code_of(error);
+            reply.code = error.code();
         }
     }
     reply
 }
 
-fn code_of(error: SendError) -> ResultCode {
-    match error {
-        SendError::NotSent(_) => ResultCode::NoEndpoint,
-        SendError::Lost(_) => ResultCode::ConnectionLost,
-        SendError::TimedOut(_) => ResultCode::DeadlinePassed,
-        SendError::TooLarge(_) => ResultCode::AnswerTooLarge,
-        SendError::Cut(_) => ResultCode::AnswerCut,
-    }
-}
-
 /// A non-idempotent request always has a connection of its own: one that went silent while idle
 /// would leave its outcome unknown.
 async fn exchange(
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -24,6 +24,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
+use crate::codes::ResultCode;
+
 /// Idle connections kept for each address.
 const MAX_IDLE: usize = 64;
 /// An idle connection older than this is not used again.
@@ -69,6 +71,19 @@
     Cut(SocketAddr),
 }
 
+impl SendError {
+    /// The code that a lost try leaves its caller with.
+    pub fn code(self) -> ResultCode {
+        match self {
+            Self::NotSent(_) => ResultCode::NoEndpoint,
+            Self::Lost(_) => ResultCode::ConnectionLost,
+            Self::TimedOut(_) => ResultCode::DeadlinePassed,
+            Self::TooLarge(_) => ResultCode::AnswerTooLarge,
+            Self::Cut(_) => ResultCode::AnswerCut,
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 #[derive(Debug)]
--- /dev/null
+++ b/standins/src/mesh.rs
@@ -0,0 +1,52 @@
+//! Settings of a mesh daemon on loopback, for tests and benchmarks without a platform.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use hyper::header::HeaderName;
+use marigoldhatch::decisions::quota::QuotaTolerance;
+use marigoldhatch::decisions::retries::RepeatRule;
+use marigoldhatch::mesh::HeaderDialect;
+use marigoldhatch::mesh::MeshSettings;
+
+/// Headers with names of the project's own.
+pub fn plain_dialect() -> HeaderDialect {
+    HeaderDialect {
+        attempt: HeaderName::from_static("x-attempt"),
+        deadline: HeaderName::from_static("x-deadline"),
+        expected_endpoint: HeaderName::from_static("x-expected"),
+        organisation: HeaderName::from_static("x-organisation"),
+        caller_service: HeaderName::from_static("x-caller"),
+        not_executed: HeaderName::from_static("x-not-run"),
+        answer_seal: HeaderName::from_static("x-seal"),
+    }
+}
+
+/// A daemon beside an endpoint of `service`, with the bounds that the users' platform has.
+pub fn loopback_settings(
+    service: &str,
+    callers: SocketAddrV4,
+    links: SocketAddrV4,
+) -> MeshSettings {
+    MeshSettings {
+        vm: links.to_string(),
+        failure_domain: "domain".to_owned(),
+        service: service.to_owned(),
+        caller_address: callers,
+        link_address: links,
+        link_listen_address: links,
+        announce_interval: Duration::from_secs(1),
+        proof_age_limit: Duration::from_millis(4400),
+        repeat_rule: RepeatRule {
+            ratio: 0.2,
+            slack: 48.0,
+            window: Duration::from_secs(10),
+        },
+        quota_tolerance: QuotaTolerance {
+            window: Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        },
+        stop_grace: Duration::from_secs(6),
+    }
+}
--- a/tests/mesh/judge.rs
+++ b/tests/mesh/judge.rs
@@ -1,27 +1,14 @@
 //! Answers that belong to another call, or to none.
 
-use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use marigoldhatch::mesh::executor::judge_answer;
 use marigoldhatch::mesh::executor::AnswerVerdict;
 use marigoldhatch::mesh::link::RefusalCause;
-use marigoldhatch::mesh::HeaderDialect;
+use marigoldhatch_standins::mesh::plain_dialect;
 use rstest::rstest;
 
-fn dialect() -> HeaderDialect {
-    HeaderDialect {
-        attempt: HeaderName::from_static("x-attempt"),
-        deadline: HeaderName::from_static("x-deadline"),
-        expected_endpoint: HeaderName::from_static("x-expected"),
-        organisation: HeaderName::from_static("x-organisation"),
-        caller_service: HeaderName::from_static("x-caller"),
-        not_executed: HeaderName::from_static("x-not-run"),
-        answer_seal: HeaderName::from_static("x-seal"),
-    }
-}
-
 #[rstest]
 #[case::whole(200, &[("x-attempt", "a"), ("x-seal", "s")], AnswerVerdict::Whole)]
 #[case::endpoint_failure(500, &[("x-attempt", "a"), ("x-seal", "s")], AnswerVerdict::Whole)]
@@ -44,7 +31,7 @@
     }
     let status = StatusCode::from_u16(status).expect("a status");
     assert_eq!(
-        judge_answer(&dialect(), Some(b"a"), status, &headers),
+        judge_answer(&plain_dialect(), Some(b"a"), status, &headers),
         expected
     );
 }
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -6,53 +6,20 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
-use hyper::header::HeaderName;
 use marigoldhatch::clock::boot_now;
-use marigoldhatch::decisions::quota::QuotaTolerance;
-use marigoldhatch::decisions::retries::RepeatRule;
 use marigoldhatch::mesh::fleet::CallerLimits;
 use marigoldhatch::mesh::fleet::MeshConfig;
-use marigoldhatch::mesh::HeaderDialect;
-use marigoldhatch::mesh::MeshSettings;
 use marigoldhatch::mesh::MeshState;
+use marigoldhatch_standins::mesh::loopback_settings;
+use marigoldhatch_standins::mesh::plain_dialect;
 
 const LIMIT: Duration = Duration::from_millis(4400);
 
 /// The state of a daemon that knows nothing yet.
 pub fn state() -> Rc<MeshState> {
-    let name = HeaderName::from_static;
-    let dialect = HeaderDialect {
-        attempt: name("x-attempt"),
-        deadline: name("x-deadline"),
-        expected_endpoint: name("x-expected"),
-        organisation: name("x-organisation"),
-        caller_service: name("x-caller"),
-        not_executed: name("x-not-run"),
-        answer_seal: name("x-seal"),
-    };
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
-    let settings = MeshSettings {
-        vm: "vm".to_owned(),
-        failure_domain: "domain".to_owned(),
-        service: "archive".to_owned(),
-        caller_address: address,
-        link_address: address,
-        link_listen_address: address,
-        announce_interval: Duration::from_secs(1),
-        proof_age_limit: LIMIT,
-        repeat_rule: RepeatRule {
-            ratio: 0.2,
-            slack: 48.0,
-            window: Duration::from_secs(10),
-        },
-        quota_tolerance: QuotaTolerance {
-            window: Duration::from_secs(5),
-            overage: 0.1,
-            slack: 20.0,
-        },
-        stop_grace: Duration::from_secs(6),
-    };
-    MeshState::start(settings, dialect, Box::new(decode))
+    let settings = loopback_settings("archive", address, address);
+    MeshState::start(settings, plain_dialect(), Box::new(decode))
 }
 
 /// The version as text is all that these configurations hold.
--- a/tests/scenarios/at_most_once.rs
+++ b/tests/scenarios/at_most_once.rs
@@ -31,6 +31,16 @@
     Uuid::new_v7(stamp).to_string()
 }
 
+async fn three_filing_endpoints(behaviour: EndpointBehaviour) -> Fleet {
+    FleetBuilder::new()
+        .endpoint(behaviour.clone())
+        .endpoint(behaviour.clone())
+        .endpoint(behaviour)
+        .filing("filing", "/filings")
+        .start()
+        .await
+}
+
 async fn filing_fleet(daemons: usize) -> Fleet {
     FleetBuilder::new()
         .endpoints("filing", daemons)
@@ -84,13 +94,7 @@
 async fn crossing_repeats_share_one_run() {
     let mut behaviour = EndpointBehaviour::from_service("filing");
     behaviour.service_time = Duration::from_millis(300);
-    let fleet = FleetBuilder::new()
-        .endpoint(behaviour.clone())
-        .endpoint(behaviour.clone())
-        .endpoint(behaviour)
-        .filing("filing", "/filings")
-        .start()
-        .await;
+    let fleet = three_filing_endpoints(behaviour).await;
     let key = fleet.grant("acme").await;
     let request_key = new_key();
 
@@ -180,13 +184,7 @@
 async fn an_executor_that_dies_in_a_run_leaves_its_outcome_unknown() {
     let mut behaviour = EndpointBehaviour::from_service("filing");
     behaviour.service_time = Duration::from_millis(1_500);
-    let mut fleet = FleetBuilder::new()
-        .endpoint(behaviour.clone())
-        .endpoint(behaviour.clone())
-        .endpoint(behaviour)
-        .filing("filing", "/filings")
-        .start()
-        .await;
+    let mut fleet = three_filing_endpoints(behaviour).await;
     let key = fleet.grant("acme").await;
     let request_key = new_key();
     let caller = Caller::new(fleet.daemons[0].plan.traffic(), &key);
--- a/tests/scenarios/keys.rs
+++ b/tests/scenarios/keys.rs
@@ -9,11 +9,21 @@
 use rstest::rstest;
 
 use crate::support::Caller;
+use crate::support::Fleet;
 use crate::support::FleetBuilder;
 
 /// "A withdrawn key stops working within seconds."
 const WITHDRAWAL_BOUND: Duration = Duration::from_secs(9);
 
+/// A fleet with this many endpoints of one service, whose route takes lookups.
+async fn archive_fleet(endpoints: usize) -> Fleet {
+    FleetBuilder::new()
+        .endpoints("archive", endpoints)
+        .lookup("archive", "/a")
+        .start()
+        .await
+}
+
 /// Calls until the key is refused; returns how long that took.
 async fn until_refused(caller: &Caller, path: &str) -> Duration {
     let start = Instant::now();
@@ -32,11 +42,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_stops_on_open_connections_everywhere() {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 3)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(3).await;
     let key = fleet.grant("acme").await;
     let callers: Vec<Caller> = fleet
         .daemons
@@ -56,11 +62,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_cut_from_the_log_hears_of_a_withdrawal_from_its_peers() {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 3)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(3).await;
     let key = fleet.grant("acme").await;
     let caller = Caller::new(fleet.daemons[1].plan.traffic(), &key);
     assert_eq!(caller.get("/a").await.code, Some(ResultCode::Done));
@@ -158,11 +160,7 @@
     #[case] header: Option<&str>,
     #[case] body: &str,
 ) {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 2)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(2).await;
     let mut caller = fleet.caller(0, "acme").await;
     let key = caller.key.clone();
     if let Some(header) = header {
@@ -186,11 +184,7 @@
 #[case::in_the_body("/a", "{\"key\": \"KEY\"}")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_that_can_not_be_stripped_is_refused(#[case] target: &str, #[case] body: &str) {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 1)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(1).await;
     let caller = fleet.caller(0, "acme").await;
     let (target, body) = (
         target.replace("KEY", &caller.key),
@@ -205,11 +199,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_can_not_pose_as_a_daemon_or_as_a_request_in_flight() {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 2)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(2).await;
     let caller = fleet.caller(0, "acme").await;
     let no_key = || Caller::new(caller.daemon, "");
 
@@ -231,11 +221,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_key_stands_in_a_log() {
-    let fleet = FleetBuilder::new()
-        .endpoints("archive", 2)
-        .lookup("archive", "/a")
-        .start()
-        .await;
+    let fleet = archive_fleet(2).await;
     let caller = fleet.caller(0, "acme").await;
     for target in ["/a", "/a?key=KEY", "/nowhere/KEY", "/a/KEY"] {
         caller.get(&target.replace("KEY", &caller.key)).await;
