Name the executor that never answered in the line of a request whose deadline passed

But the line of the entry named no executor and counted one that was asked, whatever had happened, since the timeout dropped what was known.

Change: the timeout is inside the placing of a request, which returns what it had tried.

--- a/src/mesh/entry/place.rs
+++ b/src/mesh/entry/place.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 
 use smallvec::SmallVec;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
 
 use super::super::executor::CallOutcome;
 use super::super::executor::CallRequest;
@@ -35,15 +37,18 @@
     Other(Rc<Peer>),
 }
 
-/// Sends a request to executors until one answers or none may be asked any more.
+/// Sends a request to executors until one answers, none may be asked any more, or `until` is over.
 pub async fn place(
     state: &MeshState,
     request: &mut CallRequest,
     max_attempts: u32,
     id: &str,
+    until: Instant,
 ) -> PlacedOutcome {
     let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
-    let result = try_executors(state, request, max_attempts, id, &mut tried).await;
+    let trying = try_executors(state, request, max_attempts, id, &mut tried);
+    let result = timeout_at(until, trying).await;
+    let result = result.unwrap_or(Err(ResultCode::DeadlinePassed));
     PlacedOutcome {
         result,
         executor: tried.last().copied(),
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -180,12 +180,7 @@
 ) -> CallerAnswer {
     let id = head::attempt_id(&state.dialect, &call.headers).to_owned();
     let until = admitted.deadline + OUTCOME_GRACE;
-    let placed = timeout_at(until, place(state, call, admitted.max_attempts, &id)).await;
-    let placed = placed.unwrap_or(PlacedOutcome {
-        result: Err(ResultCode::DeadlinePassed),
-        executor: None,
-        asked: 1,
-    });
+    let placed = place(state, call, admitted.max_attempts, &id, until).await;
     let took = arrived.elapsed();
     note_end(state, admitted, &placed, &id, took);
     match placed.result {
