Detect suspensions of the VM, and show two deadlines that they extend

Of the hypotheses on CONFIG, logs told a late timer from a request in time by nothing: both are timed on the steady clock, which stops while a VM is suspended. DeadlineClock compares it with the clock that goes on. A suspension is logged (event 1007, with its length and the open requests) and counted (suspended_seconds_total); the line of a failed request names its time-out beside the time that it took.

--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -12,10 +12,12 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use hyper::body::Bytes;
+use marigoldhatch::clock::DeadlineClock;
 use marigoldhatch::decisions::announcement::EndpointAnnouncement;
 use marigoldhatch::decisions::announcement::EndpointState;
 use marigoldhatch::mesh::fleet::CallerLimits;
@@ -159,6 +161,7 @@
         settings(addresses.callers, addresses.link),
         plain_header_names(),
         decode,
+        Rc::new(DeadlineClock::start()),
     )
     .expect("failed to start the daemon");
     let state = daemon.state().clone();
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -2,10 +2,16 @@
 //!
 //! The code in `decisions` never reads a clock; its callers read the time here and pass it in.
 
+mod deadline;
+
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+pub use deadline::BootReader;
+pub use deadline::BootTime;
+pub use deadline::DeadlineClock;
+
 /// Returns the milliseconds since the Unix epoch, the unit of the log and of messages.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
--- a/src/mesh/control/allocation.rs
+++ b/src/mesh/control/allocation.rs
@@ -26,6 +26,7 @@
     let mut last_allocation = state.now();
     for exchange in 0_u32.. {
         tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        state.detect_suspension();
         let now = state.now();
         if now > DISCOVERY_TIMEOUT {
             state.mark_discovery_complete();
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -59,6 +59,10 @@
             ("endpoint_running", f64::from(executor.running())),
             ("endpoint_waiting", f64::from(waiting)),
             ("open_requests", f64::from(self.open_requests())),
+            (
+                "suspended_seconds_total",
+                self.clock.suspended().as_secs_f64(),
+            ),
             ("known_daemons", peers.len() as f64 + 1.0),
             ("linked_daemons", self.linked_daemons() as f64),
             ("oldest_report_age_seconds", oldest_report_age),
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -14,6 +14,7 @@
 use super::settings::MeshSettings;
 use super::state::ConfigDecoder;
 use super::state::MeshState;
+use crate::clock::DeadlineClock;
 use crate::observe::LogEvent;
 
 /// Time in which callers' readiness checks detect the shutdown and send new requests elsewhere.
@@ -32,7 +33,7 @@
 }
 
 impl MeshDaemon {
-    /// Starts to listen for callers and for other daemons.
+    /// Starts to listen for callers and for other daemons. All deadlines are kept on `clock`.
     ///
     /// # Errors
     ///
@@ -41,12 +42,13 @@
         settings: MeshSettings,
         header_names: HeaderNames,
         decode_config: ConfigDecoder,
+        clock: Rc<DeadlineClock>,
     ) -> std::io::Result<Self> {
         let callers = listen(settings.caller_address)?;
         let links = listen(settings.link_listen_address)?;
         let event = LogEvent::DaemonStarted.number();
         tracing::warn!(event, vm = settings.vm, "daemon started");
-        let state = MeshState::new(settings, header_names, decode_config);
+        let state = MeshState::new(settings, header_names, decode_config, clock);
         let (stop, stopped) = watch::channel(false);
         tokio::task::spawn_local(accept_links(state.clone(), links));
         tokio::task::spawn_local(serve_callers(state.clone(), callers, stopped));
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -46,6 +46,8 @@
     /// Identifier of the request at the endpoint on this VM that made this call.
     pub parent: Option<u64>,
     pub deadline: Instant,
+    /// Time from the arrival to the deadline.
+    pub timeout: Duration,
     pub queue_timeout: Duration,
     pub max_attempts: u32,
     pub latency_target: Duration,
@@ -135,6 +137,7 @@
         origin,
         parent,
         deadline: arrived + timeout,
+        timeout,
         queue_timeout,
         max_attempts: route.max_attempts,
         latency_target: route.latency_target,
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -279,6 +279,7 @@
             let endpoints = state.with_executors(service, <[_]>::len);
             let linked = state.linked_daemons();
             let age_ms = state.now().as_millis() as u64;
+            let timeout_ms = admitted.timeout.as_millis() as u64;
             tracing::warn!(
                 event,
                 id,
@@ -292,6 +293,7 @@
                 linked,
                 age_ms,
                 took_ms,
+                timeout_ms,
                 nested,
                 config,
                 proof_ms,
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -34,6 +34,7 @@
 use super::link::LinkSender;
 use super::link::LinkTraffic;
 use super::settings::MeshSettings;
+use crate::clock::DeadlineClock;
 use crate::decisions::demand::DemandReport;
 use crate::decisions::demand::DemandView;
 use crate::decisions::demand::RelayTable;
@@ -56,6 +57,8 @@
     pub metrics: DaemonMetrics,
     pub link_traffic: Rc<LinkTraffic>,
     pub body_budget: BodyBudget,
+    /// Clock of all deadlines that others know of.
+    pub clock: Rc<DeadlineClock>,
     started: Instant,
     incarnation: u64,
     next_call_id: Cell<u64>,
@@ -92,6 +95,7 @@
         settings: MeshSettings,
         header_names: HeaderNames,
         decode_config: ConfigDecoder,
+        clock: Rc<DeadlineClock>,
     ) -> Rc<Self> {
         let mut rng = SmallRng::from_os_rng();
         let incarnation = rng.random();
@@ -112,6 +116,7 @@
             metrics: DaemonMetrics::start(),
             link_traffic: Rc::new(LinkTraffic::default()),
             body_budget,
+            clock,
             started: Instant::now(),
             incarnation,
             next_call_id: Cell::new(1),
@@ -161,6 +166,17 @@
         self.started.elapsed()
     }
 
+    /// Logs a suspension of the VM since the last call and wakes the timers of deadlines, if there was
+    /// one.
+    pub fn detect_suspension(&self) {
+        if let Some(suspension) = self.clock.detect_suspension() {
+            let event = LogEvent::VmSuspended.number();
+            let suspended_ms = suspension.as_millis() as u64;
+            let open = self.open_requests();
+            tracing::warn!(event, suspended_ms, open, "the VM was suspended");
+        }
+    }
+
     /// Returns a new number for a call that this daemon sends.
     pub fn next_call_id(&self) -> u64 {
         let call = self.next_call_id.get();
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -30,6 +30,7 @@
     LinesDropped = 1004, "Log lines were dropped because the writer fell behind.";
     SettingsReloaded = 1005, "The settings file was reloaded.";
     SettingsBad = 1006, "The changed settings are invalid; the daemon keeps the previous ones.";
+    VmSuspended = 1007, "The VM was suspended; open requests keep their deadlines.";
     EndpointAnnounced = 1101, "The endpoint on this VM announced itself or changed its announcement.";
     EndpointSilent = 1102, "The endpoint on this VM stopped announcing itself.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -23,3 +23,4 @@
 mod route_table;
 mod segments;
 mod slots;
+mod suspension;
--- a/tests/mesh/metrics.rs
+++ b/tests/mesh/metrics.rs
@@ -18,6 +18,7 @@
         "endpoint_running",
         "endpoint_waiting",
         "open_requests",
+        "suspended_seconds_total",
         "known_daemons",
         "linked_daemons",
         "oldest_report_age_seconds",
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -8,6 +8,7 @@
 
 use hyper::body::Bytes;
 use marigoldhatch::clock::time_since_boot;
+use marigoldhatch::clock::DeadlineClock;
 use marigoldhatch::mesh::fleet::CallerLimits;
 use marigoldhatch::mesh::fleet::MeshConfig;
 use marigoldhatch::mesh::MeshState;
@@ -20,7 +21,13 @@
 pub fn new_state() -> Rc<MeshState> {
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
     let settings = loopback_settings("archive", address, address);
-    MeshState::new(settings, plain_header_names(), Box::new(decode_version))
+    let clock = Rc::new(DeadlineClock::start());
+    MeshState::new(
+        settings,
+        plain_header_names(),
+        Box::new(decode_version),
+        clock,
+    )
 }
 
 /// Decodes a configuration that consists of its version as text.
