--- a/tests/mesh/demand.rs
+++ b/tests/mesh/demand.rs
@@ -35,13 +35,14 @@
     admitted: Vec<u64>,
     /// Encoded bytes that crossed between failure domains in the last step.
     crossed_bytes: usize,
-    /// Largest number of messages that one daemon received in the last step.
-    max_received: usize,
+    /// Messages that each daemon received in the last step.
+    received: Vec<usize>,
 }
 
 impl DemandFleet {
     fn of(daemons: usize) -> Self {
-        let members = |domain| (0..daemons as u64).filter(move |one| *one % 5 == domain);
+        let members =
+            |domain| (0..daemons as u64).filter(move |one| *one % DOMAINS as u64 == domain);
         Self {
             now: Duration::ZERO,
             domains: (0..DOMAINS as u64)
@@ -51,7 +52,7 @@
             views: (0..daemons).map(|_| DemandView::default()).collect(),
             admitted: vec![0; daemons],
             crossed_bytes: 0,
-            max_received: 0,
+            received: vec![0; daemons],
         }
     }
 
@@ -126,7 +127,7 @@
                 }
             }
         }
-        self.max_received = received.into_iter().max().unwrap_or(0);
+        self.received = received;
     }
 
     fn live(&self) -> impl Iterator<Item = u64> + '_ {
@@ -190,6 +191,9 @@
         large.crossed_bytes,
         small.crossed_bytes
     );
+    // Only relays receive more than the sums of their two relays.
+    let busy = large.received.iter().filter(|messages| **messages > 2);
+    assert_eq!(busy.count(), 2 * DOMAINS);
 }
 
 #[test]
