Keep the deadlines of requests while the VM is suspended

Callers: a request that was open when its VM was suspended was held past its route's time-out for as long as the suspension, and its endpoint was told of as much time too many. Cause: deadlines and their timers were kept on the steady clock, which stops during a suspension. The class: a promise to others, timed on a clock that others don't share. Change: deadlines are points on the clock that goes on; the timers at the entry, in the queue and at the endpoint wake up after a suspension and count it. The daemon's own intervals (pings, reports, budgets) stay on the steady clock.

--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -5,7 +5,6 @@
 
 use hyper::HeaderMap;
 use rand::Rng;
-use tokio::time::Instant;
 
 use super::super::fleet::hash_name;
 use super::super::fleet::OrganisationRule;
@@ -14,6 +13,7 @@
 use super::super::link::CallOrigin;
 use super::super::state::MeshState;
 use super::headers;
+use crate::clock::BootTime;
 use crate::codes::ResultCode;
 use crate::decisions::root_admission::ClassKey;
 
@@ -45,7 +45,7 @@
     pub origin: CallOrigin,
     /// Identifier of the request at the endpoint on this VM that made this call.
     pub parent: Option<u64>,
-    pub deadline: Instant,
+    pub deadline: BootTime,
     /// Time from the arrival to the deadline.
     pub timeout: Duration,
     pub queue_timeout: Duration,
@@ -80,7 +80,7 @@
     routes: &RouteTable,
     path: &str,
     headers: &HeaderMap,
-    arrived: Instant,
+    arrived: BootTime,
 ) -> Result<AdmittedRequest, Box<RefusedRequest>> {
     let Some(route) = routes.find_route(headers::host(headers), path) else {
         return Err(refused_request(ResultCode::NoRoute, None, ""));
@@ -190,7 +190,7 @@
     state: &MeshState,
     route: &RouteRule,
     organisation: Option<&OrganisationRule>,
-    deadline: Instant,
+    deadline: BootTime,
     attempt_id: &str,
 ) -> (Option<u64>, CallOrigin) {
     let keyless = route.allows_anonymous && organisation.is_none();
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 
 use smallvec::SmallVec;
-use tokio::time::timeout_at;
-use tokio::time::Instant;
 
 use super::super::executor::CallOutcome;
 use super::super::executor::CallRequest;
@@ -15,6 +13,7 @@
 use super::super::fleet::PeerReply;
 use super::super::link::RefusalCause;
 use super::super::state::MeshState;
+use crate::clock::BootTime;
 use crate::codes::ResultCode;
 use crate::decisions::placement::pick_executor;
 use crate::decisions::placement::ExecutorLoad;
@@ -39,9 +38,9 @@
     /// Maximum number of endpoints that the request is sent to.
     pub max_attempts: u32,
     /// Time until which a request waits while no executor of its service is known.
-    pub first_executor_by: Instant,
+    pub first_executor_by: BootTime,
     /// Time at which the outcome is given up.
-    pub until: Instant,
+    pub until: BootTime,
 }
 
 enum ExecutorTarget {
@@ -58,7 +57,7 @@
 ) -> DispatchOutcome {
     let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
     let attempts = try_executors(state, request, attempt_id, limits, &mut tried);
-    let result = timeout_at(limits.until, attempts).await;
+    let result = state.clock.timeout_at(limits.until, attempts).await;
     let result = result.unwrap_or(Err(ResultCode::DeadlinePassed));
     DispatchOutcome {
         result,
@@ -92,7 +91,9 @@
             ExecutorTarget::Local => run_locally(state, request).await,
             ExecutorTarget::Remote(peer) => {
                 let call = state.next_call_id();
-                peer.submit(call, request, &state.header_codec).await
+                let remaining = state.clock.remaining(request.deadline);
+                peer.submit(call, request, remaining, &state.header_codec)
+                    .await
             }
         };
         let may_have_run = match reply {
@@ -168,14 +169,14 @@
 async fn wait_for_executor(
     state: &MeshState,
     service: &str,
-    until: Instant,
+    until: BootTime,
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
     loop {
         let changed = state.executors_changed.notified();
         if let Some(chosen) = choose_executor(state, service, &[]) {
             return Some(chosen);
         }
-        timeout_at(until, changed).await.ok()?;
+        state.clock.timeout_at(until, changed).await?;
     }
 }
 
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -20,8 +20,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout_at;
-use tokio::time::Instant;
 
 use super::super::body_reader::read_body;
 use super::super::body_reader::BodyError;
@@ -36,6 +34,7 @@
 use super::dispatch::DispatchLimits;
 use super::dispatch::DispatchOutcome;
 use super::headers;
+use crate::clock::BootTime;
 use crate::codes::ResultCode;
 use crate::observe::LogEvent;
 
@@ -144,7 +143,7 @@
 }
 
 async fn handle_request(state: &MeshState, request: Request<Incoming>) -> CallerResponse {
-    let arrived = Instant::now();
+    let arrived = state.clock.now();
     let (mut parts, body) = request.into_parts();
     let Some(routes) = state.routes() else {
         let event = LogEvent::CallRefused.number();
@@ -160,9 +159,9 @@
     let limit = routes.config().limits.body_bytes;
     drop(routes);
     let read = read_body(body, limit, &state.body_budget);
-    let body = match timeout_at(admitted.deadline, read).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
+    let body = match state.clock.timeout_at(admitted.deadline, read).await {
+        Some(Ok(body)) => body,
+        Some(Err(error)) => {
             let code = match error {
                 BodyError::TooLarge(_) => ResultCode::BodyTooLarge,
                 BodyError::NoMemory(_) => ResultCode::NoMemory,
@@ -170,7 +169,7 @@
             };
             return refuse_body(state, &parts.headers, &admitted, code, &error.to_string());
         }
-        Err(_) => {
+        None => {
             let code = ResultCode::BodyTimeout;
             return refuse_body(state, &parts.headers, &admitted, code, "deadline passed");
         }
@@ -204,7 +203,7 @@
     state: &MeshState,
     call: &mut CallRequest,
     admitted: &AdmittedRequest,
-    arrived: Instant,
+    arrived: BootTime,
 ) -> CallerResponse {
     let id = headers::attempt_id(&state.header_names, &call.headers).to_owned();
     let limits = DispatchLimits {
@@ -213,7 +212,7 @@
         until: admitted.deadline + OUTCOME_GRACE,
     };
     let outcome = dispatch(state, call, &id, limits).await;
-    let elapsed = arrived.elapsed();
+    let elapsed = state.clock.elapsed(arrived);
     record_outcome(state, admitted, &outcome, &id, elapsed);
     match outcome.result {
         Ok(endpoint_response) => {
@@ -225,7 +224,7 @@
             response
         }
         Err(code) => {
-            let remaining = admitted.deadline.saturating_duration_since(Instant::now());
+            let remaining = state.clock.remaining(admitted.deadline);
             let retry_after = retry_after(state, admitted.latency_target, remaining);
             daemon_response(code, Some(retry_after))
         }
@@ -380,7 +379,7 @@
         held_bytes,
         "request refused: cannot read its body"
     );
-    let remaining = admitted.deadline.saturating_duration_since(Instant::now());
+    let remaining = state.clock.remaining(admitted.deadline);
     let retry_after = retry_after(state, admitted.latency_target, remaining);
     daemon_response(code, Some(retry_after))
 }
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -14,7 +14,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
-use tokio::time::timeout_at;
 use tokio::time::Instant;
 
 use super::super::body_budget::BodyBudget;
@@ -32,6 +31,8 @@
 use super::pool::ConnectionPool;
 use super::pool::EndpointConnection;
 use super::slots::SlotQueue;
+use crate::clock::BootTime;
+use crate::clock::DeadlineClock;
 use crate::decisions::announcement::EndpointAnnouncement;
 use crate::decisions::announcement::EndpointChange;
 use crate::decisions::announcement::EndpointTracker;
@@ -58,7 +59,7 @@
     pub service: Rc<str>,
     pub idempotent: bool,
     pub origin: CallOrigin,
-    pub deadline: Instant,
+    pub deadline: BootTime,
     /// Maximum time that the call waits for a slot.
     pub queue_timeout: Duration,
 }
@@ -89,6 +90,7 @@
 pub struct EndpointExecutor {
     header_names: HeaderNames,
     announce_interval: Cell<Duration>,
+    clock: Rc<DeadlineClock>,
     started: Instant,
     tracker: RefCell<EndpointTracker>,
     slots: Rc<SlotQueue>,
@@ -104,10 +106,12 @@
         header_names: HeaderNames,
         announce_interval: Duration,
         body_budget: BodyBudget,
+        clock: Rc<DeadlineClock>,
     ) -> Self {
         Self {
             header_names,
             announce_interval: Cell::new(announce_interval),
+            clock,
             started: Instant::now(),
             tracker: RefCell::new(EndpointTracker::default()),
             slots: SlotQueue::new(),
@@ -177,7 +181,7 @@
     }
 
     /// Returns the number and origin of the running request that likely made a nested call.
-    pub fn find_parent(&self, deadline: Instant, attempt_id: &str) -> Option<(u64, CallOrigin)> {
+    pub fn find_parent(&self, deadline: BootTime, attempt_id: &str) -> Option<(u64, CallOrigin)> {
         self.parents.borrow().find(deadline, attempt_id)
     }
 
@@ -194,10 +198,11 @@
         if self.usable_endpoint_for(&call.service).is_none() {
             return CallOutcome::Refused(RefusalCause::EndpointGone);
         }
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
-        let queue_timeout = call.queue_timeout.min(remaining);
+        let queue_timeout = call.queue_timeout.min(self.clock.remaining(call.deadline));
         let acquisition = self.slots.acquire(call.origin.class.rank, queue_timeout);
-        let Some(permit) = acquisition.await else {
+        let wait_until = self.clock.now() + queue_timeout;
+        let permit = self.clock.timeout_at(wait_until, acquisition).await;
+        let Some(permit) = permit.flatten() else {
             return CallOutcome::Refused(self.refusal_cause(&call.service));
         };
         let started = Instant::now();
@@ -242,7 +247,7 @@
             let Some(announcement) = self.usable_endpoint_for(&call.service) else {
                 return CallOutcome::Refused(self.refusal_cause(&call.service));
             };
-            if call.deadline < Instant::now() + MIN_REMAINING_TIME {
+            if self.clock.remaining(call.deadline) < MIN_REMAINING_TIME {
                 return CallOutcome::Refused(RefusalCause::Expired);
             }
             let connection = match self.get_connection(&announcement, new_connection).await {
@@ -275,9 +280,9 @@
         forwarded.set(true);
         let guard = self.register_parent(call);
         let sent = connection.sender.try_send_request(request);
-        let response = match timeout_at(until, sent).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(mut error)) => {
+        let response = match self.clock.timeout_at(until, sent).await {
+            Some(Ok(response)) => response,
+            Some(Err(mut error)) => {
                 if error.take_message().is_some() {
                     forwarded.set(false);
                     return None;
@@ -285,7 +290,7 @@
                 self.log_unknown_outcome(call, &error.into_error().to_string());
                 return Some(CallOutcome::Unknown);
             }
-            Err(_) => {
+            None => {
                 self.log_unknown_outcome(call, "no response by the deadline");
                 return Some(CallOutcome::Unknown);
             }
@@ -302,7 +307,7 @@
         call: &CallRequest,
         connection: EndpointConnection,
         response: Response<hyper::body::Incoming>,
-        until: Instant,
+        until: BootTime,
     ) -> CallOutcome {
         let (head, body) = response.into_parts();
         let attempt_id = call.headers.get(&self.header_names.attempt);
@@ -313,13 +318,13 @@
             return CallOutcome::Unknown;
         }
         let read = read_body(body, MAX_RESPONSE_BYTES, &self.body_budget);
-        let body = match timeout_at(until, read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => {
+        let body = match self.clock.timeout_at(until, read).await {
+            Some(Ok(body)) => body,
+            Some(Err(error)) => {
                 self.log_unknown_outcome(call, &error.to_string());
                 return refused_or_unknown(class);
             }
-            Err(_) => {
+            None => {
                 self.log_unknown_outcome(call, "the response was incomplete at the deadline");
                 return refused_or_unknown(class);
             }
@@ -341,7 +346,7 @@
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.target.clone();
         let mut headers = call.headers.clone();
-        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        let remaining = self.clock.remaining(call.deadline);
         let milliseconds = remaining.as_millis() as u64;
         headers.insert(&self.header_names.deadline, HeaderValue::from(milliseconds));
         match HeaderValue::from_str(endpoint) {
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
-use tokio::time::Instant;
 
 use super::super::link::CallOrigin;
+use crate::clock::BootTime;
 use crate::decisions::root_admission::ServiceUsage;
 
 /// Largest difference of the deadlines of a call and its parent, which differ by rounding to
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct ParentRecord {
     origin: CallOrigin,
-    deadline: Instant,
+    deadline: BootTime,
     attempt_id: Box<str>,
     usage: TreeUsage,
 }
@@ -36,14 +36,14 @@
 #[derive(Debug, Default)]
 pub struct ParentTable {
     running: HashMap<u64, ParentRecord>,
-    by_deadline: BTreeMap<(Instant, u64), ()>,
+    by_deadline: BTreeMap<(BootTime, u64), ()>,
     by_attempt_id: HashMap<Box<str>, u64>,
     sequence: u64,
 }
 
 impl ParentTable {
     /// Adds a request and returns its number.
-    pub fn add(&mut self, deadline: Instant, attempt_id: &str, origin: CallOrigin) -> u64 {
+    pub fn add(&mut self, deadline: BootTime, attempt_id: &str, origin: CallOrigin) -> u64 {
         self.sequence += 1;
         let number = self.sequence;
         let record = ParentRecord {
@@ -69,7 +69,7 @@
     }
 
     /// Returns the number and origin of the likely parent of a call, if there is one.
-    pub fn find(&self, deadline: Instant, attempt_id: &str) -> Option<(u64, CallOrigin)> {
+    pub fn find(&self, deadline: BootTime, attempt_id: &str) -> Option<(u64, CallOrigin)> {
         let split_id = attempt_id.rsplit_once(CALL_SEPARATOR);
         let by_id = split_id.and_then(|(parent_id, _)| self.by_attempt_id.get(parent_id).copied());
         let number = by_id.or_else(|| self.nearest_by_deadline(deadline))?;
@@ -83,7 +83,7 @@
         }
     }
 
-    fn nearest_by_deadline(&self, deadline: Instant) -> Option<u64> {
+    fn nearest_by_deadline(&self, deadline: BootTime) -> Option<u64> {
         let after = self.by_deadline.range((deadline, 0)..).next();
         let before = self.by_deadline.range(..(deadline, 0)).next_back();
         let neighbours = [before, after].into_iter().flatten();
@@ -105,7 +105,7 @@
     }
 }
 
-fn time_between(first: Instant, second: Instant) -> Duration {
+fn time_between(first: BootTime, second: BootTime) -> Duration {
     first
         .max(second)
         .saturating_duration_since(first.min(second))
--- a/src/mesh/executor/serve.rs
+++ b/src/mesh/executor/serve.rs
@@ -174,7 +174,7 @@
         service: Rc::from(head.service),
         idempotent: head.idempotent,
         origin: head.origin,
-        deadline: Instant::now() + Duration::from_millis(u64::from(head.remaining_ms)),
+        deadline: state.clock.now() + Duration::from_millis(u64::from(head.remaining_ms)),
         queue_timeout: Duration::from_millis(u64::from(head.queue_timeout_ms)),
     };
     let task_state = state.clone();
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -233,13 +233,19 @@
         }
     }
 
-    /// Sends a call and waits for its outcome. Dropping the returned future cancels the call.
-    pub async fn submit(&self, call: u64, request: &CallRequest, codec: &HeaderCodec) -> PeerReply {
+    /// Sends a call that has `remaining` time and waits for its outcome. Dropping the returned future
+    /// cancels the call.
+    pub async fn submit(
+        &self,
+        call: u64,
+        request: &CallRequest,
+        remaining: Duration,
+        codec: &HeaderCodec,
+    ) -> PeerReply {
         let refused = PeerReply::Outcome(CallOutcome::Refused(RefusalCause::EndpointGone));
         let Some(sender) = self.sender() else {
             return refused;
         };
-        let remaining = request.deadline.saturating_duration_since(Instant::now());
         let target = request.target.to_string();
         let head = SubmitHead {
             call,
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -104,6 +104,7 @@
             header_names.clone(),
             settings.announce_interval,
             body_budget.clone(),
+            clock.clone(),
         );
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/tests/mesh/parents.rs
+++ b/tests/mesh/parents.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use marigoldhatch::clock::DeadlineClock;
 use marigoldhatch::decisions::root_admission::ClassKey;
 use marigoldhatch::decisions::root_admission::ServiceUsage;
 use marigoldhatch::mesh::executor::ParentTable;
 use marigoldhatch::mesh::link::CallOrigin;
-use tokio::time::Instant;
 
 fn origin(route: u32) -> CallOrigin {
     CallOrigin {
@@ -18,7 +18,7 @@
 
 #[test]
 fn call_with_an_opaque_id_is_matched_by_deadline() {
-    let start = Instant::now();
+    let start = DeadlineClock::start().now();
     let mut table = ParentTable::default();
     table.add(start + Duration::from_millis(1000), "f3a1", origin(1));
     table.add(start + Duration::from_millis(1300), "09bc", origin(2));
@@ -31,7 +31,7 @@
 
 #[test]
 fn call_whose_id_extends_that_of_a_running_request_is_matched_by_id() {
-    let start = Instant::now();
+    let start = DeadlineClock::start().now();
     let mut table = ParentTable::default();
     let deadline = start + Duration::from_millis(1000);
     table.add(deadline, "aa.b1", origin(1));
@@ -43,11 +43,11 @@
 #[test]
 fn usage_of_nested_calls_is_summed_by_service() {
     let mut table = ParentTable::default();
-    let number = table.add(Instant::now(), "aa", origin(1));
+    let number = table.add(DeadlineClock::start().now(), "aa", origin(1));
     let usage = |service, slot_us| ServiceUsage { service, slot_us };
     table.add_usage(number, &[usage(5, 40), usage(6, 7)]);
     table.add_usage(number, &[usage(5, 2)]);
     let total = table.remove(number);
     assert_eq!(total.as_slice(), [usage(5, 42), usage(6, 7)]);
-    assert!(table.find(Instant::now(), "aa.x").is_none());
+    assert!(table.find(DeadlineClock::start().now(), "aa.x").is_none());
 }
