Don't ask for the outcome of a call from before a long suspension

Callers could be told that a request had not run although it had, or it ran twice: an executor keeps outcomes for 30 s, and an entry asks on a new link for calls of at most 10 s. It measured that age on the steady clock, so that after a suspension of half a minute it asked for an outcome that was forgotten, which the executor answers as 'never ran'. Change: the age is measured on the clock of deadlines.

--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -85,7 +85,13 @@
     let hello = timeout(CONNECT_TIMEOUT, read_hello(&mut reader)).await?;
     let hello = hello.ok_or(ErrorKind::UnexpectedEof)?;
     sender.set_crosses_domains(hello.failure_domain != state.settings().failure_domain);
-    peer.attach(sender.clone(), hello.incarnation, &hello.failure_domain);
+    let now = state.clock.now();
+    peer.attach(
+        sender.clone(),
+        hello.incarnation,
+        &hello.failure_domain,
+        now,
+    );
     Ok((reader, sender))
 }
 
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -91,9 +91,8 @@
             ExecutorTarget::Local => run_locally(state, request).await,
             ExecutorTarget::Remote(peer) => {
                 let call = state.next_call_id();
-                let remaining = state.clock.remaining(request.deadline);
-                peer.submit(call, request, remaining, &state.header_codec)
-                    .await
+                let now = state.clock.now();
+                peer.submit(call, request, now, &state.header_codec).await
             }
         };
         let may_have_run = match reply {
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -12,6 +12,7 @@
 
 pub use calls::CallState;
 pub use calls::CallTable;
+pub use calls::COMPLETED_CALL_RETENTION;
 pub use classify::classify_response;
 pub use classify::ResponseClass;
 pub use endpoint::CallOutcome;
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -20,6 +20,7 @@
 use super::super::link::SubmitHead;
 use super::report::DaemonReport;
 use super::report::DaemonStatus;
+use crate::clock::BootTime;
 
 /// Maximum age of a call that is resumed on a new link. The other daemon retains outcomes for
 /// longer.
@@ -43,7 +44,7 @@
     reply: oneshot::Sender<PeerReply>,
     idempotent: bool,
     incarnation: u64,
-    submitted_at: Instant,
+    submitted_at: BootTime,
 }
 
 /// Another daemon, the link to it and the calls that wait for its reply.
@@ -99,7 +100,13 @@
     ///
     /// Calls that are too old, or that were sent to an earlier incarnation of the daemon, end with
     /// an unknown outcome.
-    pub fn attach(&self, sender: LinkSender, incarnation: u64, failure_domain: &str) {
+    pub fn attach(
+        &self,
+        sender: LinkSender,
+        incarnation: u64,
+        failure_domain: &str,
+        now: BootTime,
+    ) {
         self.incarnation.set(incarnation);
         self.record_received();
         if **self.failure_domain.borrow() != *failure_domain {
@@ -108,7 +115,8 @@
         let mut unresumable = Vec::new();
         for (call, pending) in self.pending.borrow().iter() {
             let same_incarnation = pending.incarnation == incarnation;
-            if same_incarnation && pending.submitted_at.elapsed() < MAX_RESUME_AGE {
+            let age = now.saturating_duration_since(pending.submitted_at);
+            if same_incarnation && age < MAX_RESUME_AGE {
                 sender.send(&LinkFrame::Resume { call: *call }, &[]);
             } else {
                 unresumable.push(*call);
@@ -233,19 +241,20 @@
         }
     }
 
-    /// Sends a call that has `remaining` time and waits for its outcome. Dropping the returned future
-    /// cancels the call.
+    /// Sends a call at the time `now` and waits for its outcome. Dropping the returned future cancels
+    /// the call.
     pub async fn submit(
         &self,
         call: u64,
         request: &CallRequest,
-        remaining: Duration,
+        now: BootTime,
         codec: &HeaderCodec,
     ) -> PeerReply {
         let refused = PeerReply::Outcome(CallOutcome::Refused(RefusalCause::EndpointGone));
         let Some(sender) = self.sender() else {
             return refused;
         };
+        let remaining = request.deadline.saturating_duration_since(now);
         let target = request.target.to_string();
         let head = SubmitHead {
             call,
@@ -263,7 +272,7 @@
             reply,
             idempotent: request.idempotent,
             incarnation: self.incarnation.get(),
-            submitted_at: Instant::now(),
+            submitted_at: now,
         };
         self.pending.borrow_mut().insert(call, pending);
         let _guard = CallGuard { peer: self, call };
--- a/tests/mesh/config_fetch.rs
+++ b/tests/mesh/config_fetch.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use marigoldhatch::clock::DeadlineClock;
 use marigoldhatch::mesh::fleet::Peer;
 use tokio::task::LocalSet;
 
@@ -18,7 +19,8 @@
 
 async fn peer_in(failure_domain: &str) -> Peer {
     let peer = Peer::from_address(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9));
-    peer.attach(connect_link().await, 7, failure_domain);
+    let now = DeadlineClock::start().now();
+    peer.attach(connect_link().await, 7, failure_domain, now);
     peer
 }
 
