Keep the deadlines of the product's requests while the VM is suspended

Change: the deadlines of requests, attempts, contexts and runs are kept on DeadlineClock, and the traffic threads detect suspensions with their tick (event 1007). The connection pool keeps its steady deadline and is left by the caller's. No test of its own: the clock can't be moved for a process of the scenarios from outside; the clock itself is tested by tests/mesh/suspension.rs.

--- a/src/clock/deadline.rs
+++ b/src/clock/deadline.rs
@@ -95,6 +95,11 @@
         deadline.saturating_duration_since(self.now())
     }
 
+    /// Returns true if `deadline` has passed.
+    pub fn has_passed(&self, deadline: BootTime) -> bool {
+        self.now() >= deadline
+    }
+
     /// Returns the time since `earlier`.
     pub fn elapsed(&self, earlier: BootTime) -> Duration {
         self.now().saturating_duration_since(earlier)
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -17,6 +17,7 @@
 
 use super::options::DaemonOptions;
 use super::view::FleetView;
+use crate::clock::DeadlineClock;
 use crate::clock::ProcessClock;
 use crate::decisions::ownership::AckBounds;
 use crate::decisions::rates::GrantedChunk;
@@ -56,6 +57,8 @@
     pub options: DaemonOptions,
     pub incarnation: Uuid,
     pub clock: ProcessClock,
+    /// Clock of the deadlines of requests.
+    pub deadlines: DeadlineClock,
     /// Unix milliseconds at which this daemon had bound its peer address; no earlier daemon of this
     /// VM can have listened there after that.
     pub peer_address_bound_ms: OnceLock<u64>,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -26,6 +26,7 @@
 use super::shared::TokenRefill;
 use super::traffic::TrafficServer;
 use super::view::FleetView;
+use crate::clock::DeadlineClock;
 use crate::clock::ProcessClock;
 use crate::decisions::ownership::AckBounds;
 use crate::observe::DaemonMetrics;
@@ -171,6 +172,7 @@
         options,
         incarnation: Uuid::now_v7(),
         clock: ProcessClock::start(),
+        deadlines: DeadlineClock::start(),
         peer_address_bound_ms: OnceLock::new(),
         view: ArcSwap::from_pointee(FleetView::default()),
         ack_bounds: ArcSwap::from_pointee(AckBounds::default()),
--- a/src/daemon/traffic/attempt.rs
+++ b/src/daemon/traffic/attempt.rs
@@ -22,6 +22,7 @@
 use super::reply::CallReply;
 use super::reply::EndpointResponse;
 use super::state::TrafficState;
+use crate::clock::BootTime;
 use crate::codes::ResultClass;
 use crate::codes::ResultCode;
 use crate::codes::RESULT_HEADER;
@@ -51,7 +52,7 @@
 pub struct AttemptOptions {
     /// Retries that the executor may spend on downstream calls.
     pub retries: u32,
-    pub deadline: Instant,
+    pub deadline: BootTime,
     /// Open a new connection even if an idle one exists.
     pub new_connection: bool,
     /// Only ask the owner if it knows the request; don't run it.
@@ -84,7 +85,7 @@
     executor: Uuid,
     options: AttemptOptions,
 ) -> CallEnvelope {
-    let remaining = call.deadline.saturating_duration_since(Instant::now());
+    let remaining = state.shared.deadlines.remaining(call.deadline);
     CallEnvelope {
         call: Uuid::now_v7(),
         entry: state.shared.incarnation,
@@ -112,17 +113,21 @@
     options: AttemptOptions,
 ) -> AttemptOutcome {
     let request = forwarded_request(state, call, target, envelope);
+    let deadlines = &state.shared.deadlines;
     let sending = state.peer_connections.send(
         target.traffic_address,
         request,
         SendOptions {
-            deadline: options.deadline,
+            deadline: Instant::now() + deadlines.remaining(options.deadline),
             max_answer_bytes: state.shared.options.max_answer_bytes,
             new_connection: options.new_connection,
         },
     );
     let sent = tokio::select! {
-        sent = sending => sent,
+        sent = deadlines.timeout_at(options.deadline, sending) => sent.unwrap_or_else(|| {
+            state.peer_connections.retire(target.traffic_address);
+            Err(SendError::TimedOut(target.traffic_address))
+        }),
         () = query::wait_until_lost(state, target, envelope) => {
             state.peer_connections.retire(target.traffic_address);
             Err(SendError::TimedOut(target.traffic_address))
--- a/src/daemon/traffic/context.rs
+++ b/src/daemon/traffic/context.rs
@@ -9,11 +9,11 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Instant;
 
 use rand::Rng;
 use uuid::Uuid;
 
+use crate::clock::BootTime;
 use crate::daemon::shared::lock;
 use crate::decisions::retries::RetryAllowance;
 use crate::wire::CallEnvelope;
@@ -29,7 +29,7 @@
     pub request_key: Uuid,
     pub birth_ms: u64,
     pub depth: u32,
-    pub deadline: Instant,
+    pub deadline: BootTime,
     pub allowance: Mutex<RetryAllowance>,
     /// Set when a downstream call was refused because of overload.
     pub downstream_overloaded: AtomicBool,
@@ -39,7 +39,7 @@
 
 impl CallContext {
     /// Creates the context of a call that is about to run.
-    pub fn from_envelope(envelope: &CallEnvelope, deadline: Instant) -> Self {
+    pub fn from_envelope(envelope: &CallEnvelope, deadline: BootTime) -> Self {
         Self {
             organisation: envelope.organisation.clone(),
             key_hash: envelope.key_hash.clone(),
--- a/src/daemon/traffic/dispatch.rs
+++ b/src/daemon/traffic/dispatch.rs
@@ -1,7 +1,6 @@
 //! Dispatches calls: adaptive throttling, choice of an endpoint and retries.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use rand::Rng;
 use smallvec::SmallVec;
@@ -113,7 +112,7 @@
                 CallReply::from_code(error.code(), 0)
             }
         };
-        if !may_retry(reply.code) || Instant::now() >= call.deadline {
+        if !may_retry(reply.code) || state.shared.deadlines.has_passed(call.deadline) {
             return reply;
         }
         if !spend_retry(state, call, allowance) {
--- a/src/daemon/traffic/endpoint_call.rs
+++ b/src/daemon/traffic/endpoint_call.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use http_body_util::Full;
@@ -14,6 +15,7 @@
 use super::reply::EndpointResponse;
 use super::request::CleanRequest;
 use super::state::TrafficState;
+use crate::clock::BootTime;
 use crate::codes::ResultCode;
 use crate::daemon::shared::lock;
 use crate::transport::SendError;
@@ -83,7 +85,7 @@
     envelope: &CallEnvelope,
     request: CleanRequest,
     address: SocketAddr,
-    deadline: Instant,
+    deadline: BootTime,
     permit: AdmissionPermit<'_>,
 ) -> CallReply {
     let context = Arc::new(CallContext::from_envelope(envelope, deadline));
@@ -123,31 +125,34 @@
     request: &CleanRequest,
     context: &str,
     address: SocketAddr,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> Result<crate::transport::BufferedResponse, SendError> {
+    let deadlines = &state.shared.deadlines;
+    let remaining = deadlines.remaining(deadline);
     let options = SendOptions {
-        deadline,
+        deadline: Instant::now() + remaining,
         max_answer_bytes: state.shared.options.max_answer_bytes,
         new_connection: !envelope.idempotent,
     };
-    let request = build_request(request, context, address, deadline);
-    state
-        .endpoint_connections
-        .send(address, request, options)
-        .await
+    let request = build_request(request, context, address, remaining);
+    let sending = state.endpoint_connections.send(address, request, options);
+    let sent = deadlines.timeout_at(deadline, sending).await;
+    sent.unwrap_or_else(|| {
+        state.endpoint_connections.retire(address);
+        Err(SendError::TimedOut(address))
+    })
 }
 
 fn build_request(
     request: &CleanRequest,
     context: &str,
     address: SocketAddr,
-    deadline: Instant,
+    remaining: Duration,
 ) -> Request<Full<hyper::body::Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.parse().unwrap_or_default();
     *outgoing.headers_mut() = request.headers.clone();
-    let remaining = deadline.saturating_duration_since(Instant::now());
     let headers = outgoing.headers_mut();
     headers::set(headers, HOST, &address.to_string());
     headers::set(headers, DEADLINE_HEADER, &remaining.as_millis().to_string());
--- a/src/daemon/traffic/entry.rs
+++ b/src/daemon/traffic/entry.rs
@@ -22,6 +22,7 @@
 use super::request::CleanRequest;
 use super::state::TrafficState;
 use crate::clock::wall_ms;
+use crate::clock::BootTime;
 use crate::codes::ResultClass;
 use crate::codes::ResultCode;
 use crate::daemon::view::FleetView;
@@ -67,7 +68,7 @@
     pub birth_ms: u64,
     /// True if this daemon generated the request key, so that no other request can have used it.
     pub generated_key: bool,
-    pub deadline: Instant,
+    pub deadline: BootTime,
     pub depth: u32,
 }
 
@@ -128,7 +129,7 @@
     if let Some(requested) = request::requested_timeout(&head.headers)? {
         timeout = timeout.min(requested);
     }
-    let mut deadline = Instant::now() + timeout;
+    let mut deadline = state.shared.deadlines.now() + timeout;
     if let Some(parent) = &parent {
         deadline = deadline.min(parent.deadline);
     }
@@ -160,7 +161,7 @@
 }
 
 async fn charge(state: &Arc<TrafficState>, call: &RoutedCall) -> Result<(), ResultCode> {
-    let timeout = call.deadline.saturating_duration_since(Instant::now());
+    let timeout = state.shared.deadlines.remaining(call.deadline);
     rate_limit::charge(state, &call.identity.organisation, timeout).await?;
     // The API key may have been withdrawn while the call waited for a token.
     check_key(&state.shared.view(), &call.identity.key_hash)
@@ -284,7 +285,7 @@
     parent: Option<&CallContext>,
     head: &Parts,
     clean_request: CleanRequest,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> Result<RoutedCall, ResultCode> {
     let idempotency_key = request::idempotency_key(&head.headers)?;
     let (request_key, birth_ms, generated_key) = match (parent, idempotency_key) {
--- a/src/daemon/traffic/executor.rs
+++ b/src/daemon/traffic/executor.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use http_body_util::Full;
 use hyper::body::Body;
@@ -31,6 +30,7 @@
 use super::state::ReplyReceiver;
 use super::state::TrafficState;
 use crate::clock::wall_ms;
+use crate::clock::BootTime;
 use crate::codes::ResultClass;
 use crate::codes::ResultCode;
 use crate::daemon::shared::lock;
@@ -72,7 +72,7 @@
     request: CleanRequest,
 ) -> CallReply {
     let _in_flight = InFlightCall::from_call(state, envelope.call);
-    let deadline = Instant::now() + Duration::from_millis(envelope.deadline_ms);
+    let deadline = state.shared.deadlines.now() + Duration::from_millis(envelope.deadline_ms);
     if envelope.idempotent {
         return admit_and_run(state, &envelope, request, deadline).await;
     }
@@ -157,7 +157,7 @@
     state: &Arc<TrafficState>,
     envelope: &CallEnvelope,
     request: CleanRequest,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> CallReply {
     let refused = |code| CallReply::from_code(code, envelope.retries);
     let Some(endpoint) = state.shared.endpoint() else {
@@ -167,7 +167,7 @@
         return refused(ResultCode::NoEndpoint);
     }
     let now = state.shared.now();
-    let remaining = deadline.saturating_duration_since(Instant::now());
+    let remaining = state.shared.deadlines.remaining(deadline);
     let admission_request = AdmissionRequest {
         organisation: &envelope.organisation,
         weight: envelope.weight,
@@ -226,7 +226,7 @@
     state: &Arc<TrafficState>,
     envelope: CallEnvelope,
     request: CleanRequest,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> Result<CallReply, ResultCode> {
     check_ownership(state, &envelope, deadline).await?;
     let id = RequestId {
@@ -235,17 +235,18 @@
     };
     match check_dedup_table(state, &envelope, &id, request.fingerprint()) {
         DedupAction::Begin(reply_sender, receiver) => {
-            let state = state.clone();
+            let run_state = state.clone();
             // The request runs on if its caller disconnects: a repeat may still ask for the
             // response.
             tokio::spawn(async move {
-                execute_and_record(&state, &envelope, request, deadline, &id, &reply_sender).await
+                execute_and_record(&run_state, &envelope, request, deadline, &id, &reply_sender)
+                    .await
             });
-            wait_for_run(receiver, deadline).await
+            wait_for_run(state, receiver, deadline).await
         }
         DedupAction::Join(receiver) => {
             log_repeat(&envelope, "joined the execution in progress");
-            let reply = wait_for_run(receiver, deadline).await?;
+            let reply = wait_for_run(state, receiver, deadline).await?;
             Ok(reply.with_code(ResultCode::Joined))
         }
         DedupAction::Replay(reply) => {
@@ -271,11 +272,12 @@
 async fn check_ownership(
     state: &TrafficState,
     envelope: &CallEnvelope,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> Result<(), ResultCode> {
     let mut rounds = state.shared.ack_rounds.subscribe();
     let arrival_round = rounds.borrow_and_update().begun;
-    let confirm_deadline = deadline.min(Instant::now() + CONFIRM_TIMEOUT);
+    let deadlines = &state.shared.deadlines;
+    let confirm_deadline = deadline.min(deadlines.now() + CONFIRM_TIMEOUT);
     loop {
         // Read before the claim, which then includes every bound that these rounds acknowledged.
         let ended_rounds = rounds.borrow_and_update().clone();
@@ -289,7 +291,7 @@
         if ended_rounds.is_confirmed_after(&envelope.service, epoch_number, arrival_round) {
             return Err(ResultCode::BirthAhead);
         }
-        if Instant::now() >= confirm_deadline {
+        if deadlines.has_passed(confirm_deadline) {
             return Err(ResultCode::NotOwner);
         }
         // A round may have ended or the view may have changed; the loop checks both.
@@ -348,7 +350,7 @@
     state: &Arc<TrafficState>,
     envelope: &CallEnvelope,
     request: CleanRequest,
-    deadline: Instant,
+    deadline: BootTime,
     id: &RequestId,
     reply_sender: &watch::Sender<Option<CallReply>>,
 ) {
@@ -368,16 +370,16 @@
 }
 
 async fn wait_for_run(
+    state: &TrafficState,
     mut receiver: ReplyReceiver,
-    deadline: Instant,
+    deadline: BootTime,
 ) -> Result<CallReply, ResultCode> {
     let reply_ready = receiver.wait_for(Option::is_some);
-    let result =
-        tokio::time::timeout_at(tokio::time::Instant::from_std(deadline), reply_ready).await;
-    match result {
-        Err(_) => Err(ResultCode::DeadlinePassed),
-        Ok(Err(_)) => Err(ResultCode::StillUnknown),
-        Ok(Ok(reply)) => reply.clone().ok_or(ResultCode::StillUnknown),
+    let deadlines = &state.shared.deadlines;
+    match deadlines.timeout_at(deadline, reply_ready).await {
+        None => Err(ResultCode::DeadlinePassed),
+        Some(Err(_)) => Err(ResultCode::StillUnknown),
+        Some(Ok(reply)) => reply.clone().ok_or(ResultCode::StillUnknown),
     }
 }
 
--- a/src/daemon/traffic/owner_dispatch.rs
+++ b/src/daemon/traffic/owner_dispatch.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use rand::Rng;
 use tracing::info;
@@ -68,6 +67,7 @@
         may_have_reached_owner: false,
         last_code: ResultCode::NoOwner,
     };
+    let deadlines = &state.shared.deadlines;
     loop {
         let view = state.shared.view();
         match find_owner(&view, call, &search) {
@@ -88,7 +88,7 @@
                 return CallReply::from_code(ResultCode::RequestTooOld, allowance.left());
             }
         }
-        if Instant::now() + LOOKUP_INTERVAL >= call.deadline {
+        if deadlines.remaining(call.deadline) <= LOOKUP_INTERVAL {
             let code = timeout_code(call, &search);
             return CallReply::from_code(code, allowance.left());
         }
@@ -116,8 +116,9 @@
         may_have_reached_owner: true,
         last_code: refusal,
     };
-    let confirm_deadline = call.deadline.min(Instant::now() + CONFIRM_TIMEOUT);
-    while Instant::now() < confirm_deadline {
+    let deadlines = &state.shared.deadlines;
+    let confirm_deadline = call.deadline.min(deadlines.now() + CONFIRM_TIMEOUT);
+    while !deadlines.has_passed(confirm_deadline) {
         if let OwnerLookup::Reachable(target) = find_owner(&state.shared.view(), call, &search) {
             let options = AttemptOptions {
                 retries: 0,
@@ -196,7 +197,7 @@
             // Only this owner may run the request, and its queue is often full only for a moment:
             // after an ownership change it gets at once what waited for the change.
             let retries_later = reply.code == ResultCode::Overloaded
-                && Instant::now() + OVERLOAD_PAUSE < call.deadline
+                && state.shared.deadlines.remaining(call.deadline) > OVERLOAD_PAUSE
                 && dispatch::spend_retry(state, call, allowance);
             if !owner_refused && !retries_later {
                 return Some(reply);
--- a/src/daemon/traffic/server.rs
+++ b/src/daemon/traffic/server.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tracing::info;
+use tracing::warn;
 
 use super::entry;
 use super::entry::RequestOrigin;
@@ -118,10 +119,21 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        detect_suspension(&state.shared);
         state.admission.tick(state.shared.now());
     }
 }
 
+fn detect_suspension(shared: &SharedState) {
+    if let Some(suspension) = shared.deadlines.detect_suspension() {
+        let suspended_ms = suspension.as_millis() as u64;
+        warn!(
+            event = LogEvent::VmSuspended.number(),
+            suspended_ms, "the VM was suspended"
+        );
+    }
+}
+
 async fn accept(
     listener: TcpListener,
     kind: ListenerKind,
