Skip an odd record of the log, whatever it holds

Another operator's report: one odd entry of another writer, very deeply nested or with a number too large, and the machines that read the list stopped following it. It can happen here, in the product's daemon: a page of the log was parsed into JSON values before its records were told apart, so that one record nested deeper than 128 levels, or with a number such as 1e400, made the page unreadable on each attempt. The daemon followed the log no further: no change of the configuration, no withdrawal of a key. Class: an element of a list that is checked together with the others. Change: records stay raw until each is parsed by itself; an odd one is skipped (event 3003).

--- a/src/upstream/log.rs
+++ b/src/upstream/log.rs
@@ -11,6 +11,7 @@
 use hyper::body::Bytes;
 use hyper::Request;
 use hyper::StatusCode;
+use serde_json::value::RawValue;
 use tracing::warn;
 
 use crate::observe::LogEvent;
@@ -160,13 +161,20 @@
     }
 }
 
-/// A page with unparsed records, so that a malformed record does not fail the whole page.
+/// A page with unparsed records, so that a malformed record does not fail the whole page. Neither its
+/// depth nor the size of its numbers is checked here.
 #[derive(Debug, serde::Deserialize)]
 struct RawPage {
     first_offset: u64,
     next_offset: u64,
     retention_ms: u64,
-    records: Vec<serde_json::Value>,
+    records: Vec<Box<RawValue>>,
+}
+
+/// The part of a malformed record that is logged.
+#[derive(Debug, serde::Deserialize)]
+struct RecordPosition {
+    offset: u64,
 }
 
 impl RawPage {
@@ -174,11 +182,14 @@
     fn into_page(self) -> LogPage {
         let mut records = Vec::with_capacity(self.records.len());
         for record in self.records {
-            let offset = record.get("offset").and_then(serde_json::Value::as_u64);
-            match serde_json::from_value(record) {
+            match serde_json::from_str(record.get()) {
                 Ok(record) => records.push(record),
-                Err(error) => warn!(event = LogEvent::LogRecordBad.number(), offset,
-                    cause = %error, "log record skipped"),
+                Err(error) => {
+                    let position = serde_json::from_str::<RecordPosition>(record.get());
+                    let offset = position.ok().map(|position| position.offset);
+                    warn!(event = LogEvent::LogRecordBad.number(), offset,
+                        cause = %error, "log record skipped");
+                }
             }
         }
         LogPage {
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod forwarding;
 mod keys;
+mod log_client;
 mod malformed_requests;
 mod overload;
 mod rates;
