Believe a refusal without identity on a new connection only

Another operator's report: a faulty endpoint wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it was running. It can happen here: a refusal without X-Attempt-Id counted as that of the call in hand, with the reason that the connection carried only this call, which does not hold for a kept one. Change: on a connection that has carried a call before, a response without the identity belongs to nobody: the outcome is unknown, the connection is closed, and only a request that may be repeated goes elsewhere. The cases 'shed without identity' and 'another endpoint' of the older test stated the fault; they are now asserted for new and for kept connections. The product's path sends what must not run twice on new connections only.

--- a/src/mesh/executor/classify.rs
+++ b/src/mesh/executor/classify.rs
@@ -19,26 +19,30 @@
 }
 
 /// Classifies a response to the call with the given attempt identifier, by its status and headers.
+///
+/// `reused` is true if the connection has carried a call before: a response without an identifier may
+/// then be that call's, sent once more.
 pub fn classify_response(
     header_names: &HeaderNames,
     attempt_id: Option<&[u8]>,
     status: StatusCode,
     headers: &HeaderMap,
+    reused: bool,
 ) -> ResponseClass {
     let echoed_id = headers
         .get(&header_names.attempt)
         .map(|value| value.as_bytes());
     let refused = headers.contains_key(&header_names.not_executed);
-    // A refusal without an attempt identifier is accepted: the connection carried only this call.
-    if echoed_id.is_some() && echoed_id != attempt_id || (echoed_id.is_none() && !refused) {
-        let replaced = echoed_id.is_none() && status == StatusCode::MISDIRECTED_REQUEST;
-        return if replaced {
-            ResponseClass::Refused(RefusalCause::EndpointReplaced)
-        } else {
-            ResponseClass::Foreign
-        };
+    let replaced = status == StatusCode::MISDIRECTED_REQUEST;
+    let belongs_to_call = match echoed_id {
+        Some(_) => echoed_id == attempt_id,
+        // Only refusals may lack the identifier.
+        None => !reused && (refused || replaced),
+    };
+    if !belongs_to_call {
+        return ResponseClass::Foreign;
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    if replaced {
         return ResponseClass::Refused(RefusalCause::EndpointReplaced);
     }
     if refused {
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -312,7 +312,13 @@
         let (head, body) = response.into_parts();
         let attempt_id = call.headers.get(&self.header_names.attempt);
         let attempt_id = attempt_id.map(|value| value.as_bytes());
-        let class = classify_response(&self.header_names, attempt_id, head.status, &head.headers);
+        let class = classify_response(
+            &self.header_names,
+            attempt_id,
+            head.status,
+            &head.headers,
+            connection.reused,
+        );
         if class == ResponseClass::Foreign {
             self.log_unknown_outcome(call, "the response does not belong to this call");
             return CallOutcome::Unknown;
--- a/tests/mesh/classify.rs
+++ b/tests/mesh/classify.rs
@@ -17,21 +17,39 @@
 #[case::success_without_seal(200, &[("x-attempt", "a")], ResponseClass::Foreign)]
 #[case::encoded(200, &[("x-attempt", "a"), ("x-seal", "s"), ("content-encoding", "gzip")], ResponseClass::Foreign)]
 #[case::shed(503, &[("x-attempt", "a"), ("x-not-run", "1")], ResponseClass::Refused(RefusalCause::EndpointShed))]
-#[case::shed_without_identity(503, &[("x-not-run", "1")], ResponseClass::Refused(RefusalCause::EndpointShed))]
 #[case::late_refusal_of_another_call(503, &[("x-attempt", "b"), ("x-not-run", "1")], ResponseClass::Foreign)]
-#[case::another_endpoint(421, &[], ResponseClass::Refused(RefusalCause::EndpointReplaced))]
+#[case::another_endpoint(421, &[("x-attempt", "a")], ResponseClass::Refused(RefusalCause::EndpointReplaced))]
 fn response_class_follows_from_status_and_headers(
     #[case] status: u16,
     #[case] pairs: &[(&'static str, &'static str)],
     #[case] expected: ResponseClass,
+    #[values(false, true)] reused: bool,
 ) {
+    assert_eq!(classify(status, pairs, reused), expected);
+}
+
+/// Guards against the fault of issue 23, by which an endpoint's earlier refusal, sent once more on a kept
+/// connection, was taken for that of a request that ran (REFUSED, TWICE).
+#[rstest]
+#[case::shed(503, &[("x-not-run", "1")], RefusalCause::EndpointShed)]
+#[case::another_endpoint(421, &[], RefusalCause::EndpointReplaced)]
+fn refusal_without_identity_is_believed_on_a_new_connection_only(
+    #[case] status: u16,
+    #[case] pairs: &[(&'static str, &'static str)],
+    #[case] cause: RefusalCause,
+) {
+    assert_eq!(
+        classify(status, pairs, false),
+        ResponseClass::Refused(cause)
+    );
+    assert_eq!(classify(status, pairs, true), ResponseClass::Foreign);
+}
+
+fn classify(status: u16, pairs: &[(&'static str, &'static str)], reused: bool) -> ResponseClass {
     let mut headers = HeaderMap::new();
     for (name, value) in pairs {
         headers.insert(*name, HeaderValue::from_static(value));
     }
     let status = StatusCode::from_u16(status).expect("valid status code");
-    assert_eq!(
-        classify_response(&plain_header_names(), Some(b"a"), status, &headers),
-        expected
-    );
+    classify_response(&plain_header_names(), Some(b"a"), status, &headers, reused)
 }
