Honour the limits that an endpoint names in its responses

Cause: Server-Limit and Server-Leaving were read nowhere. Class: a newer statement of a peer about its capacity is not applied. Change: the daemon beside an endpoint, through which all its requests pass, keeps them to the rate with a bucket of tokens in front of the slots; waiting calls get tokens by rank within their queue timeout, and one that would come too late is refused as not run. Other daemons see fewer slots, so that placement and admission follow. An endpoint that says that it leaves gets no further calls, as after a drain. Both hold for the incarnation; a limit ends with the first response without it.

--- a/src/decisions/announcement/mod.rs
+++ b/src/decisions/announcement/mod.rs
@@ -30,6 +30,13 @@
     pub cold: Duration,
 }
 
+impl EndpointAnnouncement {
+    /// Returns true if both announcements come from the same incarnation of an endpoint.
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.id == other.id && self.born_ms == other.born_ms
+    }
+}
+
 /// State of the endpoint beside a daemon, derived from its announcements.
 #[derive(Debug, Default)]
 pub struct EndpointTracker {
@@ -37,6 +44,8 @@
     last_announced: Duration,
     deregistered: bool,
     unreachable: bool,
+    /// True once a response has said that the endpoint leaves.
+    leaving: bool,
 }
 
 /// Effect of an announcement.
@@ -63,7 +72,7 @@
         if announcement.born_ms < known.born_ms {
             return EndpointChange::Stale;
         }
-        if announcement.born_ms > known.born_ms || announcement.id != known.id {
+        if !announcement.is_same_incarnation(known) {
             return self.replace(announcement, now, EndpointChange::Started);
         }
         if self.deregistered || announcement.sequence <= known.sequence {
@@ -92,6 +101,12 @@
         is_current
     }
 
+    /// Records a response that says that the endpoint leaves; returns true if that is new. Like a drain,
+    /// it holds for the incarnation.
+    pub fn mark_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
     /// Marks the endpoint as unreachable until its next announcement.
     pub fn mark_unreachable(&mut self) {
         self.unreachable = true;
@@ -105,7 +120,7 @@
     /// Returns the last announcement if the endpoint may receive new calls.
     pub fn available(&self, interval: Duration, now: Duration) -> Option<&EndpointAnnouncement> {
         let silent = now.saturating_sub(self.last_announced) > interval * MAX_MISSED_ANNOUNCEMENTS;
-        if self.deregistered || self.unreachable || silent {
+        if self.deregistered || self.unreachable || self.leaving || silent {
             return None;
         }
         self.announcement
@@ -131,6 +146,7 @@
     ) -> EndpointChange {
         self.deregistered = false;
         self.unreachable = false;
+        self.leaving = false;
         self.announcement = Some(announcement);
         self.last_announced = now;
         change
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 #[cfg(feature = "product")]
 pub mod ownership;
+pub mod pacing;
 pub mod placement;
 pub mod quota;
 #[cfg(feature = "product")]
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -41,7 +41,7 @@
     }
 
     fn render_daemon_state(&self, text: &mut String) {
-        // An age of -1 means that there is no proof or no report.
+        // An age of -1 means that there is no proof or no report, a rate of -1 that there is no limit.
         let proof_age = self.proof_age().map_or(-1.0, |age| age.as_secs_f64());
         let peers = self.peers();
         let report_ages = peers.iter().filter_map(|peer| peer.report_age());
@@ -56,6 +56,7 @@
             ("config_proof_age_seconds", proof_age),
             ("store_reader", f64::from(u8::from(self.reads_store()))),
             ("endpoint_limit", f64::from(executor.limit())),
+            ("endpoint_rate", executor.rate().unwrap_or(-1.0)),
             ("endpoint_running", f64::from(executor.running())),
             ("endpoint_waiting", f64::from(waiting)),
             ("open_requests", f64::from(self.open_requests())),
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -24,6 +24,7 @@
 use super::super::link::RefusalCause;
 use super::classify::classify_response;
 use super::classify::ResponseClass;
+use super::limits::EndpointLimits;
 use super::parents::merge_usage;
 use super::parents::ParentTable;
 use super::parents::TreeUsage;
@@ -134,6 +135,9 @@
         match change {
             EndpointChange::Started | EndpointChange::Returned => {
                 self.pool.clear();
+                if change == EndpointChange::Started {
+                    self.slots.set_rate(None);
+                }
                 self.slots.set_limit(usable_slots(slots));
             }
             EndpointChange::Draining => self.slots.reject_waiting(),
@@ -180,6 +184,16 @@
         self.slots.limit()
     }
 
+    /// Returns the requests per second that the endpoint takes, or none if it names no limit.
+    pub fn rate(&self) -> Option<f64> {
+        self.slots.rate()
+    }
+
+    /// Returns the number of `announced` slots that the endpoint's limit lets run at once.
+    pub fn paced_slots(&self, announced: u32) -> u32 {
+        self.slots.paced_slots(announced)
+    }
+
     /// Returns the number and origin of the running request that likely made a nested call.
     pub fn find_parent(&self, deadline: BootTime, attempt_id: &str) -> Option<(u64, CallOrigin)> {
         self.parents.borrow().find(deadline, attempt_id)
@@ -295,7 +309,9 @@
                 return Some(CallOutcome::Unknown);
             }
         };
-        let mut outcome = self.read_response(call, connection, response, until).await;
+        let mut outcome = self
+            .read_response(call, announcement, connection, response, until)
+            .await;
         if let CallOutcome::Completed(response) = &mut outcome {
             response.usage = guard.close();
         }
@@ -305,6 +321,7 @@
     async fn read_response(
         &self,
         call: &CallRequest,
+        announcement: &EndpointAnnouncement,
         connection: EndpointConnection,
         response: Response<hyper::body::Incoming>,
         until: BootTime,
@@ -324,6 +341,9 @@
             return CallOutcome::Unknown;
         }
         let read = read_body(body, MAX_RESPONSE_BYTES, &self.body_budget);
+        if class != ResponseClass::Refused(RefusalCause::EndpointReplaced) {
+            self.apply_limits(announcement, &head.headers);
+        }
         let body = match self.clock.timeout_at(until, read).await {
             Some(Ok(body)) => body,
             Some(Err(error)) => {
@@ -394,6 +414,36 @@
         }
     }
 
+    /// Applies the limits that the endpoint names in a response, unless a new incarnation has announced
+    /// itself since the call was sent.
+    fn apply_limits(&self, announcement: &EndpointAnnouncement, headers: &HeaderMap) {
+        let mut tracker = self.tracker.borrow_mut();
+        let current = tracker.announcement();
+        if current.is_none_or(|current| !current.is_same_incarnation(announcement)) {
+            return;
+        }
+        let endpoint = announcement.id.as_str();
+        let limits = match EndpointLimits::from_headers(&self.header_names, headers) {
+            Ok(limits) => limits,
+            Err(text) => {
+                let event = LogEvent::EndpointLimited.number();
+                tracing::warn!(event, endpoint, text, "the endpoint names an invalid limit");
+                return;
+            }
+        };
+        if limits.leaving && tracker.mark_leaving() {
+            self.slots.reject_waiting();
+            let event = LogEvent::EndpointLeaving.number();
+            tracing::warn!(event, endpoint, "the endpoint leaves");
+        }
+        drop(tracker);
+        if self.slots.set_rate(limits.rate) {
+            let event = LogEvent::EndpointLimited.number();
+            let rate = limits.rate;
+            tracing::warn!(event, endpoint, rate, "the endpoint's limit changed");
+        }
+    }
+
     fn mark_endpoint_unreachable(&self, announcement: &EndpointAnnouncement, error: &str) {
         self.tracker.borrow_mut().mark_unreachable();
         self.slots.reject_waiting();
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod classify;
 mod endpoint;
+mod limits;
 mod parents;
 mod pool;
 mod serve;
@@ -19,6 +20,7 @@
 pub use endpoint::CallRequest;
 pub use endpoint::EndpointExecutor;
 pub use endpoint::EndpointResponse;
+pub use limits::EndpointLimits;
 pub use parents::ParentTable;
 pub use parents::TreeUsage;
 pub use serve::accept_links;
--- a/src/mesh/executor/slots.rs
+++ b/src/mesh/executor/slots.rs
@@ -2,7 +2,7 @@
 //!
 //! Calls are queued here and not at the endpoint, so that they are served by the rank of the root
 //! request of their call graph, and a call that is cancelled or whose endpoint drains never reaches
-//! the endpoint.
+//! the endpoint. If the endpoint names how many requests it takes a second, calls wait for that too.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -10,10 +10,17 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::decisions::pacing::RequestPacer;
 
 /// Weight of the newest call in the mean time that a call holds a slot.
 const RUN_TIME_SMOOTHING: f64 = 0.1;
+/// Ratio of two numbers of paced slots up to which the earlier one is kept, so that reports to other
+/// daemons don't follow each change of the mean run time.
+const PACED_SLOTS_TOLERANCE: f64 = 1.25;
 
 /// Position in the queue; the lowest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,12 +35,18 @@
     running: u32,
     sequence: u64,
     mean_run_seconds: f64,
+    pacer: RequestPacer,
+    /// Slots that the paced requests keep busy, as last returned.
+    paced_slots: f64,
+    /// True while a task waits for the next token of the pacer.
+    awaits_token: bool,
     waiting: BTreeMap<QueuePosition, oneshot::Sender<SlotPermit>>,
 }
 
 /// Slots of one endpoint and the calls that wait for one.
 #[derive(Debug)]
 pub struct SlotQueue {
+    started: Instant,
     state: RefCell<SlotState>,
 }
 
@@ -58,9 +71,13 @@
             running: 0,
             sequence: 0,
             mean_run_seconds: 0.0,
+            pacer: RequestPacer::default(),
+            paced_slots: 0.0,
+            awaits_token: false,
             waiting: BTreeMap::new(),
         };
         Rc::new(Self {
+            started: Instant::now(),
             state: RefCell::new(state),
         })
     }
@@ -68,7 +85,37 @@
     /// Sets the number of calls that may run at once.
     pub fn set_limit(self: &Rc<Self>, limit: u32) {
         self.state.borrow_mut().limit = limit;
-        while self.grant_next() {}
+        self.grant_waiting();
+    }
+
+    /// Sets the requests per second that the endpoint takes, or none if it names no limit; returns true
+    /// if that is a change.
+    pub fn set_rate(self: &Rc<Self>, rate: Option<f64>) -> bool {
+        let now = self.now();
+        let changed = self.state.borrow_mut().pacer.set_rate(rate, now);
+        if changed {
+            self.grant_waiting();
+        }
+        changed
+    }
+
+    /// Returns the requests per second that the endpoint takes, or none if it names no limit.
+    pub fn rate(&self) -> Option<f64> {
+        self.state.borrow().pacer.rate()
+    }
+
+    /// Returns the number of `announced` slots that the endpoint's rate keeps busy.
+    pub fn paced_slots(&self, announced: u32) -> u32 {
+        let mut state = self.state.borrow_mut();
+        let Some(rate) = state.pacer.rate() else {
+            return announced;
+        };
+        let busy = (rate * state.mean_run_seconds).max(1.0);
+        let ratio = busy / state.paced_slots;
+        if !(1.0 / PACED_SLOTS_TOLERANCE..=PACED_SLOTS_TOLERANCE).contains(&ratio) {
+            state.paced_slots = busy;
+        }
+        announced.min(state.paced_slots.ceil() as u32)
     }
 
     /// Returns the number of calls that may run at once.
@@ -100,14 +147,15 @@
             RUN_TIME_SMOOTHING * (run_time.as_secs_f64() - state.mean_run_seconds);
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot, and for the endpoint's rate to allow one more request.
     ///
     /// Returns none if the wait exceeds `queue_timeout`, is expected to exceed it, or the waiting
     /// calls were rejected.
     pub async fn acquire(self: &Rc<Self>, rank: u8, queue_timeout: Duration) -> Option<SlotPermit> {
         let (position, granted) = {
             let mut state = self.state.borrow_mut();
-            if state.running < state.limit {
+            let has_slot = state.running < state.limit && state.waiting.is_empty();
+            if has_slot && state.pacer.take(self.now()).is_ok() {
                 state.running += 1;
                 drop(state);
                 return Some(SlotPermit {
@@ -119,13 +167,15 @@
                 rank,
                 sequence: state.sequence,
             };
-            if state.expected_wait(position) > queue_timeout.as_secs_f64() {
+            if state.expected_wait(position, self.now()) > queue_timeout.as_secs_f64() {
                 return None;
             }
             let (grant, granted) = oneshot::channel();
             state.waiting.insert(position, grant);
             (position, granted)
         };
+        // No slot may be free: then the next call that ends grants it.
+        self.grant_waiting();
         let guard = WaitGuard {
             queue: self,
             position,
@@ -135,11 +185,26 @@
         permit.ok()?.ok()
     }
 
-    /// Grants a free slot to the first waiting call; returns false if there is no slot or no call.
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Grants free slots to waiting calls, as far as the endpoint's rate allows.
+    fn grant_waiting(self: &Rc<Self>) {
+        while self.grant_next() {}
+    }
+
+    /// Grants a free slot to the first waiting call; returns false if there is no slot, no call or no
+    /// token of the pacer.
     fn grant_next(self: &Rc<Self>) -> bool {
         let grant = {
             let mut state = self.state.borrow_mut();
-            if state.running >= state.limit {
+            if state.running >= state.limit || state.waiting.is_empty() {
+                return false;
+            }
+            if let Err(delay) = state.pacer.take(self.now()) {
+                drop(state);
+                self.grant_after(delay);
                 return false;
             }
             let Some((_, grant)) = state.waiting.pop_first() else {
@@ -149,24 +214,43 @@
             grant
         };
         // If the call no longer waits, dropping the permit grants the slot to the next one.
-        drop(grant.send(SlotPermit {
+        let permit = SlotPermit {
             queue: self.clone(),
-        }));
+        };
+        if let Err(unused) = grant.send(permit) {
+            self.state.borrow_mut().pacer.give_back();
+            drop(unused);
+        }
         true
     }
+
+    /// Grants slots once the pacer has its next token.
+    fn grant_after(self: &Rc<Self>, delay: Duration) {
+        if std::mem::replace(&mut self.state.borrow_mut().awaits_token, true) {
+            return;
+        }
+        let queue = self.clone();
+        tokio::task::spawn_local(async move {
+            sleep(delay).await;
+            queue.state.borrow_mut().awaits_token = false;
+            queue.grant_waiting();
+        });
+    }
 }
 
 impl SlotState {
-    fn expected_wait(&self, position: QueuePosition) -> f64 {
+    fn expected_wait(&self, position: QueuePosition, now: Duration) -> f64 {
         let ahead = self.waiting.range(..position).count() as f64;
-        ahead * self.mean_run_seconds / f64::from(self.limit.max(1))
+        let slot_wait = ahead * self.mean_run_seconds / f64::from(self.limit.max(1));
+        let rate_wait = self.pacer.delay(ahead + 1.0, now);
+        slot_wait.max(rate_wait.as_secs_f64())
     }
 }
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         self.queue.state.borrow_mut().running -= 1;
-        self.queue.grant_next();
+        self.queue.grant_waiting();
     }
 }
 
--- a/src/mesh/header_names.rs
+++ b/src/mesh/header_names.rs
@@ -19,4 +19,8 @@
     pub not_executed: HeaderName,
     /// Present on every response that the endpoint itself sent.
     pub response_seal: HeaderName,
+    /// Requests per second that the endpoint takes from all callers together, while it needs a limit.
+    pub request_rate: HeaderName,
+    /// Present on the responses of an endpoint that leaves.
+    pub leaving: HeaderName,
 }
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -219,7 +219,7 @@
         let (announcement, cold) = self.executor.usable_endpoint()?;
         Some(EndpointReport {
             service: announcement.service,
-            slots: announcement.slots,
+            slots: self.executor.paced_slots(announcement.slots),
             cold: !cold.is_zero(),
         })
     }
--- a/standins/src/mesh.rs
+++ b/standins/src/mesh.rs
@@ -19,6 +19,8 @@
         caller_service: HeaderName::from_static("x-caller"),
         not_executed: HeaderName::from_static("x-not-run"),
         response_seal: HeaderName::from_static("x-seal"),
+        request_rate: HeaderName::from_static("x-rate"),
+        leaving: HeaderName::from_static("x-leaving"),
     }
 }
 
--- a/tests/mesh/metrics.rs
+++ b/tests/mesh/metrics.rs
@@ -15,6 +15,7 @@
         "config_proof_age_seconds",
         "store_reader",
         "endpoint_limit",
+        "endpoint_rate",
         "endpoint_running",
         "endpoint_waiting",
         "open_requests",
