Apply the slots of each announcement

An endpoint that announced another number of slots while it ran kept the number of its first announcement, so that one that had lowered it got more requests at once than it takes. Change: each announcement of the incarnation in force sets the slots. Test: later_announcement_changes_the_number_of_slots; without the change it stops at 8 slots after 64.

--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -141,7 +141,9 @@
                 self.slots.set_limit(usable_slots(slots));
             }
             EndpointChange::Draining => self.slots.reject_waiting(),
-            EndpointChange::Nothing | EndpointChange::Stale => {}
+            // An endpoint may announce another number of slots while it runs.
+            EndpointChange::Nothing => self.slots.set_limit(usable_slots(slots)),
+            EndpointChange::Stale => {}
         }
         change
     }
--- a/tests/mesh/limits.rs
+++ b/tests/mesh/limits.rs
@@ -1,11 +1,18 @@
 //! Limits that endpoints name in their responses and announcements.
 
+use std::time::Duration;
+
 use hyper::header::HeaderValue;
 use hyper::HeaderMap;
+use marigoldhatch::decisions::announcement::EndpointAnnouncement;
+use marigoldhatch::decisions::announcement::EndpointState;
+use marigoldhatch::decisions::placement::usable_slots;
 use marigoldhatch::mesh::executor::EndpointLimits;
 use marigoldhatch_standins::mesh::plain_header_names;
 use rstest::rstest;
 
+use super::proof::new_state;
+
 fn read(pairs: &[(&'static str, &'static str)]) -> Result<EndpointLimits, String> {
     let mut headers = HeaderMap::new();
     for (name, value) in pairs {
@@ -39,3 +46,23 @@
 fn invalid_rate_is_an_error(#[case] text: &'static str) {
     assert_eq!(read(&[("x-rate", text)]), Err(text.to_owned()));
 }
+
+/// Guards against an endpoint that gets as many requests at once as it took at its start, although it
+/// has announced fewer slots since.
+#[tokio::test]
+async fn later_announcement_changes_the_number_of_slots() {
+    let state = new_state();
+    for (sequence, slots) in [(1, 64), (2, 8), (3, 32)] {
+        state.handle_announcement(EndpointAnnouncement {
+            id: "archive-1".to_owned(),
+            service: "archive".to_owned(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            slots,
+            state: EndpointState::Ready,
+            sequence,
+            born_ms: 1,
+            cold: Duration::ZERO,
+        });
+        assert_eq!(state.executor.limit(), usable_slots(slots));
+    }
+}
