Keep the guard of a running request beside its table

The guard that removes a request from the table of parents moves to parents.rs; no change of what it does.

--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -26,6 +26,7 @@
 use super::classify::ResponseClass;
 use super::limits::EndpointLimits;
 use super::parents::merge_usage;
+use super::parents::ParentGuard;
 use super::parents::ParentTable;
 use super::parents::TreeUsage;
 use super::pool::connect;
@@ -294,7 +295,9 @@
         let request = self.build_request(call, &announcement.id);
         let until = call.deadline + RESPONSE_GRACE;
         forwarded.set(true);
-        let guard = self.register_parent(call);
+        let attempt_id = self.attempt_id(call);
+        let guard =
+            ParentGuard::from_request(&self.parents, call.deadline, attempt_id, call.origin);
         let sent = connection.sender.try_send_request(request);
         let response = match self.clock.timeout_at(until, sent).await {
             Some(Ok(response)) => response,
@@ -465,16 +468,6 @@
         tracing::warn!(event, id, error, "no complete response from the endpoint");
     }
 
-    fn register_parent(&self, call: &CallRequest) -> ParentGuard<'_> {
-        let attempt_id = self.attempt_id(call);
-        let mut parents = self.parents.borrow_mut();
-        let number = parents.add(call.deadline, attempt_id, call.origin);
-        ParentGuard {
-            parents: &self.parents,
-            number,
-        }
-    }
-
     fn attempt_id<'a>(&self, call: &'a CallRequest) -> &'a str {
         let value = call.headers.get(&self.header_names.attempt);
         value.and_then(|value| value.to_str().ok()).unwrap_or("")
@@ -493,22 +486,3 @@
         _ => CallOutcome::Unknown,
     }
 }
-
-/// Removes a request from the parent table on drop.
-struct ParentGuard<'a> {
-    parents: &'a RefCell<ParentTable>,
-    number: u64,
-}
-
-impl ParentGuard<'_> {
-    /// Removes the request and returns the slot time of its nested calls.
-    fn close(self) -> TreeUsage {
-        self.parents.borrow_mut().remove(self.number)
-    }
-}
-
-impl Drop for ParentGuard<'_> {
-    fn drop(&mut self) {
-        self.parents.borrow_mut().remove(self.number);
-    }
-}
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -5,6 +5,7 @@
 //! the nearest deadline, because a call inherits its parent's deadline. The result is only used for
 //! admission, so a wrong match breaks no guarantee.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -95,6 +96,36 @@
     }
 }
 
+/// Request in a parent table, which is removed on drop.
+pub struct ParentGuard<'a> {
+    parents: &'a RefCell<ParentTable>,
+    number: u64,
+}
+
+impl<'a> ParentGuard<'a> {
+    /// Adds a request that is about to run.
+    pub fn from_request(
+        parents: &'a RefCell<ParentTable>,
+        deadline: BootTime,
+        attempt_id: &str,
+        origin: CallOrigin,
+    ) -> Self {
+        let number = parents.borrow_mut().add(deadline, attempt_id, origin);
+        Self { parents, number }
+    }
+
+    /// Removes the request and returns the slot time of its nested calls.
+    pub fn close(self) -> TreeUsage {
+        self.parents.borrow_mut().remove(self.number)
+    }
+}
+
+impl Drop for ParentGuard<'_> {
+    fn drop(&mut self) {
+        self.parents.borrow_mut().remove(self.number);
+    }
+}
+
 /// Adds slot times, service by service.
 pub fn merge_usage(total: &mut TreeUsage, usage: &[ServiceUsage]) {
     for added in usage {
