Read the store in time for a new version when all readers have lost it

Cause: three daemons read the store for the fleet. When all three lose it silently, the others rely on them until their proof of recency is stale, and that age came from the limit on withdrawn keys alone: 2.2 s, and up to 0.3 s to the next check, where a version has 2 s. Class: a detection time that is derived from one bound and serves two.

--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -20,6 +20,7 @@
 use marigoldhatch::clock::DeadlineClock;
 use marigoldhatch::decisions::announcement::EndpointAnnouncement;
 use marigoldhatch::decisions::announcement::EndpointState;
+use marigoldhatch::decisions::readers::ProofLimits;
 use marigoldhatch::mesh::fleet::CallerLimits;
 use marigoldhatch::mesh::fleet::MeshConfig;
 use marigoldhatch::mesh::fleet::RouteRule;
@@ -208,7 +209,10 @@
     MeshSettings {
         // Disables periodic announcements and proofs during a measurement.
         announce_interval: Duration::from_secs(3600),
-        proof_age_limit: Duration::from_secs(3600),
+        proof_limits: ProofLimits {
+            keys: Duration::from_secs(3600),
+            version: Duration::from_secs(3600),
+        },
         ..loopback_settings(SERVICE, callers, link)
     }
 }
--- a/src/decisions/readers/mod.rs
+++ b/src/decisions/readers/mod.rs
@@ -12,6 +12,11 @@
 /// Proof age from which a daemon reads for itself, as a share of the age at which requests with a
 /// key are refused. It leaves time for a silent connection to time out and for a second attempt.
 const STALE_SHARE: f64 = 0.5;
+/// Time for a read of the store over a new connection, and for applying what it returns.
+const READ_TIME: Duration = Duration::from_millis(400);
+/// Lower bound of the proof age from which a daemon reads for itself, as a share of the time in which a
+/// version must be in force.
+const MIN_STALE_SHARE: f64 = 0.5;
 
 /// Number of daemons that retry promptly: twice the readers, as some may be cut off themselves.
 const PROMPT_COUNT: usize = 2 * READER_COUNT;
@@ -29,19 +34,49 @@
     pub reads: bool,
 }
 
+/// Limits that follow from the age of the proof that a configuration is the newest.
+#[derive(Debug, Clone, Copy)]
+pub struct ProofLimits {
+    /// Age of the proof above which requests with a key are refused.
+    pub keys: Duration,
+    /// Time after the confirmation of a version in which it must be in force.
+    pub version: Duration,
+}
+
+/// Returns the age of its proof from which a daemon reads the store itself.
+///
+/// A version may have been confirmed right after the newest proof, and all readers may have lost the
+/// store since without knowing it. So the age leaves time to read a version within its limit.
+pub fn stale_age(limits: &ProofLimits) -> Duration {
+    let for_version = limits.version.saturating_sub(READ_TIME);
+    let for_version = for_version.max(limits.version.mul_f64(MIN_STALE_SHARE));
+    limits.keys.mul_f64(STALE_SHARE).min(for_version)
+}
+
+/// Returns the number of daemons that read and come before this one in the order.
+pub fn reader_rank(own_order: u64, peers: impl Iterator<Item = PeerReader>) -> usize {
+    let earlier_readers = peers.filter(|peer| peer.reads && peer.order < own_order);
+    earlier_readers.take(READER_COUNT).count()
+}
+
+/// Returns the wait of a reader's first long poll after one that returned early.
+///
+/// A new version ends the polls of all readers at once. Different waits spread their ends again, so that
+/// the other daemons get a proof more often than each reader does.
+pub fn first_wait(rank: usize, wait: Duration) -> Duration {
+    let turn = rank % READER_COUNT + 1;
+    wait.mul_f64(turn as f64 / READER_COUNT as f64)
+}
+
 /// Returns true if a daemon should read, by its position in the order, its peers and the age of its
 /// proof.
 pub fn should_read(
     own_order: u64,
     peers: impl Iterator<Item = PeerReader>,
     proof_age: Option<Duration>,
-    age_limit: Duration,
+    stale_age: Duration,
 ) -> bool {
-    if is_stale(proof_age, age_limit) {
-        return true;
-    }
-    let earlier_readers = peers.filter(|peer| peer.reads && peer.order < own_order);
-    earlier_readers.take(READER_COUNT).count() < READER_COUNT
+    is_stale(proof_age, stale_age) || reader_rank(own_order, peers) < READER_COUNT
 }
 
 /// Returns the delay before the next read of a daemon whose last `failures` reads failed.
@@ -74,6 +109,6 @@
 }
 
 /// Returns true if a proof is so old that its daemon must read instead of waiting for its peers.
-pub fn is_stale(proof_age: Option<Duration>, age_limit: Duration) -> bool {
-    proof_age.is_none_or(|age| age > age_limit.mul_f64(STALE_SHARE))
+pub fn is_stale(proof_age: Option<Duration>, stale_age: Duration) -> bool {
+    proof_age.is_none_or(|age| age > stale_age)
 }
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -168,7 +168,7 @@
         return Ok(organisation);
     }
     if state.proof_expired() {
-        let retry_after = state.settings().proof_age_limit / 4;
+        let retry_after = state.settings().proof_limits.keys / 4;
         return Err(refused_request(
             ResultCode::CutOff,
             Some(retry_after),
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::decisions::quota::QuotaTolerance;
+use crate::decisions::readers::ProofLimits;
 use crate::decisions::retries::RetryBound;
 
 /// Settings of the request path; the platform's adapter derives them from its own settings.
@@ -21,9 +22,8 @@
     pub link_listen_address: SocketAddrV4,
     /// Interval between two announcements of an endpoint.
     pub announce_interval: Duration,
-    /// Maximum age of the proof that the configuration is the newest; above it, requests with an
-    /// API key are refused.
-    pub proof_age_limit: Duration,
+    /// Limits on the age of the proof that the configuration is the newest.
+    pub proof_limits: ProofLimits,
     /// Bound on retries at a further endpoint.
     pub repeat_rule: RetryBound,
     /// Tolerated excess over an organisation's quota.
--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::Bytes;
 use rand::Rng;
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::super::fleet::daemon_order;
@@ -12,9 +13,12 @@
 use super::super::fleet::RouteTable;
 use super::MeshState;
 use crate::clock::time_since_boot;
+use crate::decisions::readers::first_wait;
 use crate::decisions::readers::is_stale;
+use crate::decisions::readers::reader_rank;
 use crate::decisions::readers::retry_delay;
 use crate::decisions::readers::should_read;
+use crate::decisions::readers::stale_age;
 use crate::decisions::readers::PeerReader;
 use crate::observe::LogEvent;
 
@@ -95,10 +99,27 @@
 
     /// Returns true if this daemon should read the store now, for itself or for the fleet.
     pub fn should_read_store(&self) -> bool {
+        let own_order = daemon_order(self.settings().link_address);
+        let readers = self.peer_readers().into_iter();
+        should_read(own_order, readers, self.proof_age(), self.stale_age())
+    }
+
+    /// Returns the wait of this reader's first long poll after one that returned early; later ones wait
+    /// for `wait`.
+    pub fn first_read_wait(&self, wait: Duration) -> Duration {
+        let own_order = daemon_order(self.settings().link_address);
+        first_wait(
+            reader_rank(own_order, self.peer_readers().into_iter()),
+            wait,
+        )
+    }
+
+    /// Returns the other daemons that read the store, as far as is known.
+    fn peer_readers(&self) -> SmallVec<[PeerReader; 16]> {
         // At the start of a fleet no daemon has reported yet that it reads.
         let starting = self.now() < READER_SETTLING_TIME;
         let peers = self.peers();
-        let peers = peers.iter().filter_map(|peer| {
+        let readers = peers.iter().filter_map(|peer| {
             let order = daemon_order(peer.address);
             if starting {
                 return Some(PeerReader { order, reads: true });
@@ -108,9 +129,18 @@
                 reads: report.reads_store,
             })
         });
-        let settings = self.settings();
-        let own_order = daemon_order(settings.link_address);
-        should_read(own_order, peers, self.proof_age(), settings.proof_age_limit)
+        readers.collect()
+    }
+
+    /// Returns the age of its proof from which this daemon reads the store itself.
+    fn stale_age(&self) -> Duration {
+        stale_age(&self.settings().proof_limits)
+    }
+
+    /// Returns the time until the proof is too old to wait longer for a newer one from a peer.
+    pub fn time_until_stale(&self) -> Duration {
+        let age = self.proof_age().unwrap_or(Duration::MAX);
+        self.stale_age().saturating_sub(age)
     }
 
     /// Returns the delay before the next call to the store after `failures` failed ones.
@@ -125,7 +155,7 @@
 
     /// Returns true if the proof is too old to wait longer for a newer one from a peer.
     pub fn proof_is_stale(&self) -> bool {
-        is_stale(self.proof_age(), self.settings().proof_age_limit)
+        is_stale(self.proof_age(), self.stale_age())
     }
 
     /// Sets whether this daemon reads the store, which it reports to its peers.
@@ -173,7 +203,7 @@
     /// Returns true if a key withdrawal may have been missed for longer than the proof's age limit.
     pub fn proof_expired(&self) -> bool {
         self.proof_age()
-            .is_none_or(|age| age > self.settings().proof_age_limit)
+            .is_none_or(|age| age > self.settings().proof_limits.keys)
     }
 
     /// Returns true if this daemon reads the store for the fleet.
--- a/standins/src/mesh.rs
+++ b/standins/src/mesh.rs
@@ -5,6 +5,7 @@
 
 use hyper::header::HeaderName;
 use marigoldhatch::decisions::quota::QuotaTolerance;
+use marigoldhatch::decisions::readers::ProofLimits;
 use marigoldhatch::decisions::retries::RetryBound;
 use marigoldhatch::mesh::HeaderNames;
 use marigoldhatch::mesh::MeshSettings;
@@ -39,7 +40,10 @@
         link_address: links,
         link_listen_address: links,
         announce_interval: Duration::from_secs(1),
-        proof_age_limit: Duration::from_millis(4400),
+        proof_limits: ProofLimits {
+            keys: Duration::from_millis(4400),
+            version: Duration::from_secs(2),
+        },
         repeat_rule: RetryBound {
             ratio: 0.2,
             slack: 48.0,
--- a/tests/mesh/readers.rs
+++ b/tests/mesh/readers.rs
@@ -2,12 +2,18 @@
 
 use std::time::Duration;
 
+use marigoldhatch::decisions::readers::first_wait;
 use marigoldhatch::decisions::readers::retry_delay;
 use marigoldhatch::decisions::readers::should_read;
+use marigoldhatch::decisions::readers::stale_age;
 use marigoldhatch::decisions::readers::PeerReader;
+use marigoldhatch::decisions::readers::ProofLimits;
 use rstest::rstest;
 
-const PROOF_AGE_LIMIT: Duration = Duration::from_millis(4400);
+const LIMITS: ProofLimits = ProofLimits {
+    keys: Duration::from_millis(4400),
+    version: Duration::from_secs(2),
+};
 const RECENT_PROOF: Option<Duration> = Some(Duration::from_millis(900));
 
 /// Returns a fleet in which the daemons at these positions read.
@@ -21,7 +27,7 @@
 
 fn reads(order: u64, peers: &[PeerReader], age: Option<Duration>) -> bool {
     let others = peers.iter().filter(|peer| peer.order != order).copied();
-    should_read(order, others, age, PROOF_AGE_LIMIT)
+    should_read(order, others, age, stale_age(&LIMITS))
 }
 
 #[rstest]
@@ -62,6 +68,42 @@
     assert!(reads(12, &fleet(13, &[0, 1, 2]), age));
 }
 
+/// Guards against the fault of issue 23, by which a version that was confirmed right after all readers had
+/// lost the store was not in force in time at daemons that reached the store (CONFIG).
+#[rstest]
+#[case::small(5000, 2000)]
+#[case::grown(5000, 2500)]
+#[case::quick_versions(5000, 800)]
+#[case::quick_withdrawals(1000, 2000)]
+fn daemons_read_in_time_for_a_version_that_all_readers_miss(
+    #[case] keys_ms: u64,
+    #[case] version_ms: u64,
+) {
+    let limits = ProofLimits {
+        keys: Duration::from_millis(keys_ms),
+        version: Duration::from_millis(version_ms),
+    };
+    // The readers report for some time that they read, though their reads have no answer.
+    let peers = fleet(13, &[0, 1, 2]);
+    let others = || peers.iter().filter(|peer| peer.order != 12).copied();
+    let ages = (0..10_000).map(Duration::from_millis);
+    let reads_at = ages
+        .into_iter()
+        .find(|age| should_read(12, others(), Some(*age), stale_age(&limits)))
+        .expect("the daemon reads at some age");
+    // A read over a new connection takes some round trips to the store and back.
+    let read_time = Duration::from_millis(300).min(limits.version / 4);
+    assert!(reads_at + read_time <= limits.version, "{reads_at:?}");
+    assert!(reads_at <= limits.keys, "{reads_at:?}");
+}
+
+#[test]
+fn reads_of_the_readers_end_at_different_times() {
+    let wait = Duration::from_millis(1800);
+    let waits: Vec<Duration> = (0..3).map(|rank| first_wait(rank, wait)).collect();
+    assert_eq!(waits, [600, 1200, 1800].map(Duration::from_millis));
+}
+
 #[test]
 fn few_daemons_retry_promptly_while_the_store_is_down() {
     // Pattern: the store is down or busy for seconds and every daemon of a large fleet needs it.
