Rely on one reader of the store, with a later age of its proof

Change: the age leaves 0.2 s for a read (1.8 s for ConfigS 2), and a poll of 1.45 s with a ping after it is shorter than that. The turns of the readers are dropped.

--- a/src/decisions/readers/mod.rs
+++ b/src/decisions/readers/mod.rs
@@ -13,7 +13,7 @@
 /// key are refused. It leaves time for a silent connection to time out and for a second attempt.
 const STALE_SHARE: f64 = 0.5;
 /// Time for a read of the store over a new connection, and for applying what it returns.
-const READ_TIME: Duration = Duration::from_millis(400);
+const READ_TIME: Duration = Duration::from_millis(200);
 /// Lower bound of the proof age from which a daemon reads for itself, as a share of the time in which a
 /// version must be in force.
 const MIN_STALE_SHARE: f64 = 0.5;
@@ -53,21 +53,6 @@
     limits.keys.mul_f64(STALE_SHARE).min(for_version)
 }
 
-/// Returns the number of daemons that read and come before this one in the order.
-pub fn reader_rank(own_order: u64, peers: impl Iterator<Item = PeerReader>) -> usize {
-    let earlier_readers = peers.filter(|peer| peer.reads && peer.order < own_order);
-    earlier_readers.take(READER_COUNT).count()
-}
-
-/// Returns the wait of a reader's first long poll after one that returned early.
-///
-/// A new version ends the polls of all readers at once. Different waits spread their ends again, so that
-/// the other daemons get a proof more often than each reader does.
-pub fn first_wait(rank: usize, wait: Duration) -> Duration {
-    let turn = rank % READER_COUNT + 1;
-    wait.mul_f64(turn as f64 / READER_COUNT as f64)
-}
-
 /// Returns true if a daemon should read, by its position in the order, its peers and the age of its
 /// proof.
 pub fn should_read(
@@ -76,7 +61,11 @@
     proof_age: Option<Duration>,
     stale_age: Duration,
 ) -> bool {
-    is_stale(proof_age, stale_age) || reader_rank(own_order, peers) < READER_COUNT
+    if is_stale(proof_age, stale_age) {
+        return true;
+    }
+    let earlier_readers = peers.filter(|peer| peer.reads && peer.order < own_order);
+    earlier_readers.take(READER_COUNT).count() < READER_COUNT
 }
 
 /// Returns the delay before the next read of a daemon whose last `failures` reads failed.
@@ -110,5 +99,5 @@
 
 /// Returns true if a proof is so old that its daemon must read instead of waiting for its peers.
 pub fn is_stale(proof_age: Option<Duration>, stale_age: Duration) -> bool {
-    proof_age.is_none_or(|age| age > stale_age)
+    proof_age.is_none_or(|age| age >= stale_age)
 }
--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -5,7 +5,6 @@
 
 use hyper::body::Bytes;
 use rand::Rng;
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::super::fleet::daemon_order;
@@ -13,9 +12,7 @@
 use super::super::fleet::RouteTable;
 use super::MeshState;
 use crate::clock::time_since_boot;
-use crate::decisions::readers::first_wait;
 use crate::decisions::readers::is_stale;
-use crate::decisions::readers::reader_rank;
 use crate::decisions::readers::retry_delay;
 use crate::decisions::readers::should_read;
 use crate::decisions::readers::stale_age;
@@ -99,27 +96,10 @@
 
     /// Returns true if this daemon should read the store now, for itself or for the fleet.
     pub fn should_read_store(&self) -> bool {
-        let own_order = daemon_order(self.settings().link_address);
-        let readers = self.peer_readers().into_iter();
-        should_read(own_order, readers, self.proof_age(), self.stale_age())
-    }
-
-    /// Returns the wait of this reader's first long poll after one that returned early; later ones wait
-    /// for `wait`.
-    pub fn first_read_wait(&self, wait: Duration) -> Duration {
-        let own_order = daemon_order(self.settings().link_address);
-        first_wait(
-            reader_rank(own_order, self.peer_readers().into_iter()),
-            wait,
-        )
-    }
-
-    /// Returns the other daemons that read the store, as far as is known.
-    fn peer_readers(&self) -> SmallVec<[PeerReader; 16]> {
         // At the start of a fleet no daemon has reported yet that it reads.
         let starting = self.now() < READER_SETTLING_TIME;
         let peers = self.peers();
-        let readers = peers.iter().filter_map(|peer| {
+        let peers = peers.iter().filter_map(|peer| {
             let order = daemon_order(peer.address);
             if starting {
                 return Some(PeerReader { order, reads: true });
@@ -129,7 +109,8 @@
                 reads: report.reads_store,
             })
         });
-        readers.collect()
+        let own_order = daemon_order(self.settings().link_address);
+        should_read(own_order, peers, self.proof_age(), self.stale_age())
     }
 
     /// Returns the age of its proof from which this daemon reads the store itself.
