--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -118,6 +118,15 @@
         stale_age(&self.settings().proof_limits)
     }
 
+    /// Pings the daemons that read the store, whose replies carry their proofs.
+    pub fn ping_readers(&self) {
+        for peer in self.peers() {
+            if peer.with_report(|report| report.reads_store) == Some(true) {
+                peer.ping_due.notify_one();
+            }
+        }
+    }
+
     /// Returns the time until the proof is too old to wait longer for a newer one from a peer.
     pub fn time_until_stale(&self) -> Duration {
         let age = self.proof_age().unwrap_or(Duration::MAX);
