--- a/src/decisions/readers/mod.rs
+++ b/src/decisions/readers/mod.rs
@@ -98,6 +98,6 @@
 }
 
 /// Returns true if a proof is so old that its daemon must read instead of waiting for its peers.
-pub fn is_stale(proof_age: Option<Duration>, stale_age: Duration) -> bool {
+fn is_stale(proof_age: Option<Duration>, stale_age: Duration) -> bool {
     proof_age.is_none_or(|age| age >= stale_age)
 }
--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -12,7 +12,6 @@
 use super::super::fleet::RouteTable;
 use super::MeshState;
 use crate::clock::time_since_boot;
-use crate::decisions::readers::is_stale;
 use crate::decisions::readers::retry_delay;
 use crate::decisions::readers::should_read;
 use crate::decisions::readers::stale_age;
@@ -143,11 +142,6 @@
         retry_delay(own_order, orders, failures, jitter)
     }
 
-    /// Returns true if the proof is too old to wait longer for a newer one from a peer.
-    pub fn proof_is_stale(&self) -> bool {
-        is_stale(self.proof_age(), self.stale_age())
-    }
-
     /// Sets whether this daemon reads the store, which it reports to its peers.
     pub fn set_reads_store(&self, reads: bool) {
         if self.reads_store.replace(reads) != reads {
