--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -216,47 +216,53 @@
     Ok(cut > 0)
 }
 
-/// Traffic grows while the executor keeps the answers of the last requests.
+/// Traffic grows while the executors keep the answers of the last requests.
 pub fn kept_answers_fill_memory(trouble: bool, record: &Record) -> Result<bool, String> {
     const ANSWER_BYTES: usize = 128 * 1024;
-    const USUAL_PER_S: f64 = 52.0;
+    const USUAL_PER_S: f64 = 112.0;
     const BURST_FACTOR: f64 = 1.7;
-    const BEFORE: Duration = Duration::from_secs(20);
-    const BURST: Duration = Duration::from_secs(20);
+    const LENGTH: Duration = Duration::from_secs(96);
+    /// Bursts of 20 s: their begins, in seconds.
+    const BURSTS: [u64; 3] = [32, 58, 84];
+    const BURST_SECONDS: u64 = 20;
+    const RESTART_DELAY: Duration = Duration::from_millis(500);
+    /// Ends of processes that break the rule, on each of two machines.
+    const MAX_ENDS: u32 = 3;
     let store = Store::default();
     let small = Work {
         time: millis(20),
         answer_bytes: 200,
     };
-    let mut machines = start_machines(
-        &[("desk", small), ("archive", small)],
-        false,
-        &store,
-        record,
-    )?;
+    let services = [("desk", small), ("archive", small), ("archive", small)];
+    let mut machines = start_machines(&services, false, &store, record)?;
     wait_served(machines[0].daemon.outbound)?;
-    machines[1].endpoint.set_work(Work {
-        time: millis(110),
-        answer_bytes: ANSWER_BYTES,
-    });
+    for machine in &machines[1..] {
+        machine.endpoint.set_work(Work {
+            time: millis(110),
+            answer_bytes: ANSWER_BYTES,
+        });
+    }
     let entry = machines[0].daemon.outbound;
     let (failed, done) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
     let started = Instant::now();
-    let (mut sent, mut peak) = (0_u32, 0);
-    let mut killed = false;
-    let mut next_line = Duration::ZERO;
-    let mut due = 0.0;
-    let mut last = started;
-    while started.elapsed() < BEFORE + BURST {
-        let now = Instant::now();
-        let in_burst = trouble && started.elapsed() >= BEFORE;
-        let rate = if in_burst {
-            USUAL_PER_S * BURST_FACTOR
+    let mut ends = [0; 3];
+    let mut peaks = [0; 3];
+    let mut restart_at: [Option<Instant>; 3] = [None; 3];
+    let (mut sent, mut due, mut last) = (0_u32, 0.0, started);
+    let mut next_line = 0;
+    while started.elapsed() < LENGTH && ends.iter().filter(|count| **count >= MAX_ENDS).count() < 2
+    {
+        let second = started.elapsed().as_secs();
+        let in_burst = BURSTS
+            .iter()
+            .any(|from| (*from..from + BURST_SECONDS).contains(&second));
+        let factor = if trouble && in_burst {
+            BURST_FACTOR
         } else {
-            USUAL_PER_S
+            1.0
         };
-        due += (now - last).as_secs_f64() * rate;
-        last = now;
+        due += last.elapsed().as_secs_f64() * USUAL_PER_S * factor;
+        last = Instant::now();
         while due >= 1.0 {
             due -= 1.0;
             sent += 1;
@@ -272,45 +278,50 @@
                 counter.fetch_add(1, Ordering::Relaxed);
             });
         }
-        let memory = machines[1].daemon.memory_mb();
-        peak = peak.max(memory);
-        if started.elapsed() >= next_line {
-            next_line += Duration::from_secs(2);
+        for (index, machine) in machines.iter_mut().enumerate() {
+            if let Some(at) = restart_at[index] {
+                if Instant::now() >= at {
+                    machine.daemon.start_again();
+                    restart_at[index] = None;
+                }
+                continue;
+            }
+            let memory = machine.daemon.memory_mb();
+            peaks[index] = memory.max(peaks[index]);
+            if memory > MEMORY_MB {
+                let name = &machine.daemon.name;
+                record.line(&format!("{name} holds {memory} MiB, over its MemoryMb of {MEMORY_MB}: the platform kills it"));
+                machine.daemon.kill();
+                ends[index] += 1;
+                restart_at[index] = Some(Instant::now() + RESTART_DELAY);
+            }
+        }
+        if second >= next_line {
+            next_line += 2;
             record.line(&format!(
-                "sent {sent} at {rate:.0} a second, answered {}, failed {}; daemon {} holds {memory} MiB, daemon {} {} MiB",
+                "sent {sent}, traffic x {factor}, answered {}, failed {}; memory {:?} MiB",
                 done.load(Ordering::Relaxed),
                 failed.load(Ordering::Relaxed),
-                machines[1].daemon.name,
-                machines[0].daemon.name,
-                machines[0].daemon.memory_mb()
+                machines
+                    .iter()
+                    .map(|machine| machine.daemon.memory_mb())
+                    .collect::<Vec<_>>()
             ));
         }
-        if memory > MEMORY_MB {
-            record.line(&format!(
-                "daemon {} holds {memory} MiB, over its MemoryMb of {MEMORY_MB}: the platform kills it",
-                machines[1].daemon.name
-            ));
-            machines[1].daemon.kill();
-            killed = true;
-            break;
-        }
         sleep(millis(5));
     }
     sleep(millis(1000));
     let (done, failed) = (done.load(Ordering::Relaxed), failed.load(Ordering::Relaxed));
-    let ran = machines[1]
-        .endpoint
-        .runs()
-        .iter()
-        .filter(|run| run.id.starts_with("invoice"))
-        .count();
+    let runs = machines.iter().flat_map(|machine| machine.endpoint.runs());
+    let ran = runs.filter(|run| run.id.starts_with("invoice")).count();
     record.line(&format!(
-        "sent {sent}, ran {ran}, answered {done}, failed {failed}, most memory {peak} MiB of {MEMORY_MB}"
+        "sent {sent}, ran {ran}, answered {done}, failed {failed}; most memory {peaks:?} MiB of {MEMORY_MB}; \
+         ends of the processes {ends:?}"
     ));
     if done == 0 {
         return Err("no request was answered".to_owned());
     }
-    Ok(killed)
+    Ok(ends.iter().filter(|count| **count >= MAX_ENDS).count() >= 2)
 }
 
 /// An endpoint leaves just after its daemon has been started again, and an earlier ping comes late.
@@ -535,3 +546,118 @@
     ));
     Ok(ran_late > 0)
 }
+
+/// Two regions lose each other for over a minute, and a tenant then sends more than its allotment.
+pub fn parted_for_good(trouble: bool, record: &Record) -> Result<bool, String> {
+    const CUT: Duration = Duration::from_secs(68);
+    const RECOVER: Duration = Duration::from_secs(15);
+    const LOAD: Duration = Duration::from_secs(7);
+    /// Requests a second from the clients of each of the two machines.
+    const SENT_PER_S: u32 = 60;
+    const WINDOW_S: f64 = 5.0;
+    const RATE_PER_S: f64 = 40.0;
+    const BURST: f64 = 40.0;
+    const LIMIT: f64 = (RATE_PER_S * WINDOW_S + BURST) * 1.1 + 20.0;
+    let store = Store::default();
+    let work = Work {
+        time: millis(20),
+        answer_bytes: 200,
+    };
+    let machines = start_machines(
+        &[("archive", work), ("archive", work)],
+        true,
+        &store,
+        record,
+    )?;
+    let cut = Arc::new(AtomicBool::new(false));
+    for machine in &machines {
+        start_proxy(machine.daemon.links, machine.daemon.own_links(), &cut, None);
+    }
+    let quota = format!("\"RatePerS\":{RATE_PER_S},\"Burst\":{BURST},\"Name\":\"{TENANT}\"");
+    let text = configuration(8, &[KEY, OTHER_KEY]);
+    let text = text.replace(&format!("\"Name\":\"{TENANT}\""), &quota);
+    store.put("keyed.op", "config", text.as_bytes());
+    wait_served(machines[0].daemon.outbound)?;
+    sleep(Duration::from_secs(3));
+    let before = load_both(&machines, LOAD, SENT_PER_S, WINDOW_S, record);
+    if trouble {
+        record.line(
+            "the two machines lose each other; both reach the store, their endpoints and clients",
+        );
+        cut.store(true, Ordering::Relaxed);
+    }
+    sleep(CUT);
+    cut.store(false, Ordering::Relaxed);
+    record.line("the two machines reach each other again");
+    sleep(RECOVER + millis(500));
+    let after = load_both(&machines, LOAD, SENT_PER_S, WINDOW_S, record);
+    record.line(&format!(
+        "most requests of {TENANT} that ran in {WINDOW_S} s: {before} before, {after} after; the rule allows {LIMIT:.0}"
+    ));
+    if f64::from(before) > LIMIT {
+        return Err("the rule was broken before the disruption".to_owned());
+    }
+    Ok(f64::from(after) > LIMIT)
+}
+
+/// Sends requests at both machines and returns the most that ran within a window of `window_s`.
+fn load_both(
+    machines: &[Machine],
+    length: Duration,
+    per_s: u32,
+    window_s: f64,
+    record: &Record,
+) -> u32 {
+    let before: Vec<usize> = machines
+        .iter()
+        .map(|one| one.endpoint.runs().len())
+        .collect();
+    let counts = Arc::new([AtomicU32::new(0), AtomicU32::new(0), AtomicU32::new(0)]);
+    let from = record.seconds();
+    let mut number = 0;
+    while record.seconds() < from + length.as_secs_f64() {
+        number += 1;
+        for machine in machines {
+            let (address, counts) = (machine.daemon.outbound, counts.clone());
+            let id = format!("{}-{from:.0}-{number}", machine.daemon.name);
+            std::thread::spawn(move || {
+                let answer = send(address, &request("POST", "/file/levy", &id));
+                let counter = match answer.status {
+                    200 => &counts[0],
+                    429 => &counts[1],
+                    _ => &counts[2],
+                };
+                counter.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        sleep(Duration::from_secs(1) / per_s);
+    }
+    sleep(millis(500));
+    let mut times: Vec<f64> = Vec::new();
+    for (machine, before) in machines.iter().zip(before) {
+        let runs = machine.endpoint.runs();
+        record.line(&format!(
+            "endpoint {} ran {}",
+            machine.endpoint.id,
+            runs.len() - before
+        ));
+        times.extend(runs[before..].iter().map(|run| run.at));
+    }
+    let [served, refused, other] =
+        [0, 1, 2].map(|index: usize| counts[index].load(Ordering::Relaxed));
+    record.line(&format!(
+        "clients got 200: {served}, 429: {refused}, anything else: {other}"
+    ));
+    times.sort_by(f64::total_cmp);
+    let within = |first: f64| {
+        times
+            .iter()
+            .filter(|at| **at >= first && **at < first + window_s)
+            .count()
+    };
+    times
+        .iter()
+        .map(|first| within(*first) as u32)
+        .max()
+        .unwrap_or(0)
+}
--- a/review/support/endpoint.rs
+++ b/review/support/endpoint.rs
@@ -23,6 +23,8 @@
 /// A request that the endpoint began to work on.
 #[derive(Debug, Clone)]
 pub struct Run {
+    /// Seconds since the start of the record.
+    pub at: f64,
     pub id: String,
     pub tenant: String,
 }
@@ -158,6 +160,7 @@
             self.id
         ));
         let run = Run {
+            at: self.record.seconds(),
             id: id.clone(),
             tenant,
         };
--- a/review/support/main.rs
+++ b/review/support/main.rs
@@ -42,6 +42,7 @@
         "kept-answers-fill-memory" => cases::kept_answers_fill_memory(trouble, &record),
         "leaving-forgotten" => cases::leaving_forgotten(trouble, &record),
         "withdrawn-key-names-tenant" => cases::withdrawn_key_names_tenant(trouble, &record),
+        "parted-for-good" => cases::parted_for_good(trouble, &record),
         _ => Err(format!("unknown case {case}")),
     };
     match result {
