--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -661,3 +661,52 @@
         .max()
         .unwrap_or(0)
 }
+
+/// An endpoint rejects a long body early and reads on slowly, and then drains.
+pub fn queued_behind_a_body(trouble: bool, record: &Record) -> Result<bool, String> {
+    const DRAIN: Duration = Duration::from_secs(2);
+    let store = Store::default();
+    let work = Work {
+        time: millis(100),
+        answer_bytes: 200,
+    };
+    let machines = start_machines(&[("desk", work), ("archive", work)], false, &store, record)?;
+    let entry = machines[0].daemon.outbound;
+    wait_served(entry)?;
+    let endpoint = &machines[1].endpoint;
+    if trouble {
+        endpoint
+            .early_bytes_per_s
+            .store(2_000_000, Ordering::Relaxed);
+    }
+    let body = vec![b'b'; 12 * 1024 * 1024];
+    let upload = Request {
+        body: &body,
+        ..request("POST", "/file/upload", "upload")
+    };
+    let answer = send(entry, &upload);
+    record.line(&format!("client of upload got status {}", answer.status));
+    let client = std::thread::spawn(move || send(entry, &request("POST", "/file/levy", "behind")));
+    sleep(millis(300));
+    endpoint.pings.store(false, Ordering::Relaxed);
+    if !endpoint.ping(machines[1].daemon.control, "draining") {
+        return Err("the drain was not acknowledged".to_owned());
+    }
+    let drained_at = record.seconds();
+    record.line("endpoint i-1 reports draining; acknowledged");
+    let answer = client.join().expect("client");
+    record.line(&format!(
+        "client of behind got status {}, after {:.3} s",
+        answer.status,
+        answer.took.as_secs_f64()
+    ));
+    sleep(Duration::from_secs(2));
+    let runs = endpoint.runs();
+    let run = runs.iter().find(|run| run.id == "behind");
+    let late = run.is_some_and(|run| run.at > drained_at + DRAIN.as_secs_f64());
+    let at = run.map(|run| run.at - drained_at);
+    record.line(&format!(
+        "the request reached the endpoint at {at:.3?} s after the confirmation"
+    ));
+    Ok(late)
+}
--- a/review/support/endpoint.rs
+++ b/review/support/endpoint.rs
@@ -1,5 +1,6 @@
 //! Stand-in of an application endpoint.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -12,7 +13,8 @@
 use std::time::SystemTime;
 
 use super::http::call;
-use super::http::read_message;
+use super::http::read_body;
+use super::http::read_head;
 use super::http::write_response;
 use super::http::Message;
 use super::record::Record;
@@ -29,6 +31,9 @@
     pub tenant: String,
 }
 
+/// Size from which a body is long, for an endpoint that rejects long ones early.
+const LONG_BODY_BYTES: usize = 1024 * 1024;
+
 /// What the endpoint does with a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
@@ -49,6 +54,9 @@
     runs: Arc<Mutex<Vec<Run>>>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     ended: Arc<AtomicBool>,
+    /// Bytes a second at which the endpoint reads the rest of a long body that it has rejected, or 0 if
+    /// it rejects none.
+    pub early_bytes_per_s: Arc<AtomicU64>,
     /// True while the endpoint sends pings.
     pub pings: Arc<AtomicBool>,
     record: Record,
@@ -70,6 +78,7 @@
             runs: Arc::default(),
             streams: Arc::default(),
             ended: Arc::default(),
+            early_bytes_per_s: Arc::default(),
             pings: Arc::default(),
             record: record.clone(),
         };
@@ -139,13 +148,53 @@
 
     fn serve(&self, mut stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        while let Some(request) = read_message(&mut stream) {
+        while let Some(mut request) = read_head(&mut stream) {
+            let rate = self.early_bytes_per_s.load(Ordering::Relaxed);
+            if rate > 0 && request.body_length() >= LONG_BODY_BYTES {
+                if self.reject_early(&mut stream, &request, rate).is_err() {
+                    return;
+                }
+                continue;
+            }
+            if read_body(&mut stream, &mut request).is_none() {
+                return;
+            }
             if self.handle(&mut stream, &request).is_err() {
                 return;
             }
         }
     }
 
+    /// Rejects a request before its body has been read, and reads on slowly.
+    fn reject_early(
+        &self,
+        stream: &mut TcpStream,
+        request: &Message,
+        bytes_per_s: u64,
+    ) -> std::io::Result<()> {
+        let id = request.header("x-attempt-id").unwrap_or("");
+        let headers = format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n");
+        write_response(stream, "503 Service Unavailable", &headers, b"")?;
+        self.record
+            .line(&format!("endpoint {} rejects id {id} early", self.id));
+        let mut left = request.body_length();
+        let mut buffer = vec![0_u8; 64 * 1024];
+        while left > 0 {
+            let limit = left.min(buffer.len());
+            let count = stream.read(&mut buffer[..limit])?;
+            if count == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            left -= count;
+            std::thread::sleep(Duration::from_secs_f64(count as f64 / bytes_per_s as f64));
+        }
+        self.record.line(&format!(
+            "endpoint {} has read the rest of id {id}",
+            self.id
+        ));
+        Ok(())
+    }
+
     fn handle(&self, stream: &mut TcpStream, request: &Message) -> std::io::Result<()> {
         let header = |name: &str| request.header(name).unwrap_or("").to_owned();
         let (id, expected) = (header("x-attempt-id"), header("x-expected-instance"));
--- a/review/support/http.rs
+++ b/review/support/http.rs
@@ -27,6 +27,12 @@
         code.and_then(|code| code.parse().ok()).unwrap_or(0)
     }
 
+    /// Returns the length of the body that the head announces.
+    pub fn body_length(&self) -> usize {
+        let length = self.header("content-length");
+        length.and_then(|length| length.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the method and the target of a request.
     pub fn method_and_target(&self) -> (&str, &str) {
         let mut words = self.start.split(' ');
@@ -60,13 +66,18 @@
     })
 }
 
+/// Reads the body after a head; returns none if it is incomplete.
+pub fn read_body(stream: &mut TcpStream, message: &mut Message) -> Option<()> {
+    let mut body = vec![0_u8; message.body_length()];
+    stream.read_exact(&mut body).ok()?;
+    message.body = body;
+    Some(())
+}
+
 /// Reads a message with a `Content-Length`; returns none if it is incomplete.
 pub fn read_message(stream: &mut TcpStream) -> Option<Message> {
     let mut message = read_head(stream)?;
-    let length = message.header("content-length").unwrap_or("0");
-    let mut body = vec![0_u8; length.parse().ok()?];
-    stream.read_exact(&mut body).ok()?;
-    message.body = body;
+    read_body(stream, &mut message)?;
     Some(message)
 }
 
--- a/review/support/main.rs
+++ b/review/support/main.rs
@@ -43,6 +43,7 @@
         "leaving-forgotten" => cases::leaving_forgotten(trouble, &record),
         "withdrawn-key-names-tenant" => cases::withdrawn_key_names_tenant(trouble, &record),
         "parted-for-good" => cases::parted_for_good(trouble, &record),
+        "queued-behind-a-body" => cases::queued_behind_a_body(trouble, &record),
         _ => Err(format!("unknown case {case}")),
     };
     match result {
