--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -219,9 +219,9 @@
 /// Traffic grows while the executors keep the answers of the last requests.
 pub fn kept_answers_fill_memory(trouble: bool, record: &Record) -> Result<bool, String> {
     const ANSWER_BYTES: usize = 128 * 1024;
-    const USUAL_PER_S: f64 = 112.0;
+    const USUAL_PER_S: f64 = 120.0;
     const BURST_FACTOR: f64 = 1.7;
-    const LENGTH: Duration = Duration::from_secs(96);
+    const LENGTH: Duration = Duration::from_secs(104);
     /// Bursts of 20 s: their begins, in seconds.
     const BURSTS: [u64; 3] = [32, 58, 84];
     const BURST_SECONDS: u64 = 20;
