--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -1,10 +1,12 @@
 //! The events of each case.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -243,7 +245,8 @@
         });
     }
     let entry = machines[0].daemon.outbound;
-    let (failed, done) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let done = Arc::new(AtomicU32::new(0));
+    let failed: Arc<Mutex<Vec<String>>> = Arc::default();
     let started = Instant::now();
     let mut ends = [0; 3];
     let mut peaks = [0; 3];
@@ -266,16 +269,17 @@
         while due >= 1.0 {
             due -= 1.0;
             sent += 1;
-            let (number, failed, done) = (sent, failed.clone(), done.clone());
+            let (number, failed, done, record) =
+                (sent, failed.clone(), done.clone(), record.clone());
             std::thread::spawn(move || {
                 let id = format!("invoice-{number}");
                 let answer = send(entry, &request("POST", "/file/invoice", &id));
-                let counter = if answer.status == 200 && answer.complete {
-                    done
-                } else {
-                    failed
-                };
-                counter.fetch_add(1, Ordering::Relaxed);
+                if answer.status == 200 && answer.complete {
+                    done.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+                record.line(&format!("client of {id} got status {}", answer.status));
+                failed.lock().expect("lock").push(id);
             });
         }
         for (index, machine) in machines.iter_mut().enumerate() {
@@ -301,7 +305,7 @@
             record.line(&format!(
                 "sent {sent}, traffic x {factor}, answered {}, failed {}; memory {:?} MiB",
                 done.load(Ordering::Relaxed),
-                failed.load(Ordering::Relaxed),
+                failed.lock().expect("lock").len(),
                 machines
                     .iter()
                     .map(|machine| machine.daemon.memory_mb())
@@ -311,12 +315,15 @@
         sleep(millis(5));
     }
     sleep(millis(1000));
-    let (done, failed) = (done.load(Ordering::Relaxed), failed.load(Ordering::Relaxed));
+    let done = done.load(Ordering::Relaxed);
+    let failed = failed.lock().expect("lock").clone();
     let runs = machines.iter().flat_map(|machine| machine.endpoint.runs());
-    let ran = runs.filter(|run| run.id.starts_with("invoice")).count();
+    let ran: HashSet<String> = runs.map(|run| run.id).collect();
+    let unanswered = failed.iter().filter(|id| ran.contains(*id)).count();
     record.line(&format!(
-        "sent {sent}, ran {ran}, answered {done}, failed {failed}; most memory {peaks:?} MiB of {MEMORY_MB}; \
-         ends of the processes {ends:?}"
+        "sent {sent}, answered {done}, failed {}; {unanswered} ran and were not answered; most memory {peaks:?} MiB \
+         of {MEMORY_MB}; ends of the processes {ends:?}",
+        failed.len()
     ));
     if done == 0 {
         return Err("no request was answered".to_owned());
