Read numbers of a configuration beyond the decoder's own bounds

Cause: a route's Priority was decoded into 8 bits.

A call carries four bits of a rank, so ranks of 16 and more are replaced by their position in the order of all ranks. Smaller ones, as on all sites, stay as they are.

--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -220,7 +220,7 @@
 fn configuration() -> MeshConfig {
     let service = WeightedService {
         service: SERVICE.into(),
-        weight: 1,
+        weight: 1.0,
     };
     let route = RouteRule {
         name: "bench".to_owned(),
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -10,6 +10,7 @@
 use super::super::fleet::OrganisationRule;
 use super::super::fleet::RouteRule;
 use super::super::fleet::RouteTable;
+use super::super::fleet::RANK_COUNT;
 use super::super::link::CallOrigin;
 use super::super::state::MeshState;
 use super::headers;
@@ -31,10 +32,6 @@
 const RETRY_AFTER_REMAINING_FRACTION: f64 = 1.0 / 3.0;
 /// Random factor on the upper bound of `Retry-After`, so that refused callers don't retry together.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.4..1.0;
-/// Number of ranks of organisations and of routes. They are combined into one rank in which the
-/// organisation's is the more significant.
-const RANK_COUNT: u8 = 16;
-
 /// A request that was admitted, with what its dispatch needs.
 #[derive(Debug)]
 pub struct AdmittedRequest {
@@ -206,7 +203,7 @@
     let organisation_rank = organisation
         .and_then(|rule| rule.rank)
         .unwrap_or(route.rank);
-    let rank = organisation_rank.min(RANK_COUNT - 1) * RANK_COUNT + route.rank.min(RANK_COUNT - 1);
+    let rank = combine_ranks(organisation_rank, route.rank);
     let origin = CallOrigin {
         class: ClassKey {
             // A nested call whose parent isn't known belongs to admitted work and is served first.
@@ -219,6 +216,13 @@
     (None, origin)
 }
 
+/// Combines the ranks of an organisation and of a route into one, in which the organisation's is the more
+/// significant.
+fn combine_ranks(organisation_rank: u32, route_rank: u32) -> u8 {
+    let last = RANK_COUNT - 1;
+    (organisation_rank.min(last) * RANK_COUNT + route_rank.min(last)) as u8
+}
+
 /// Returns the time after which a refused caller should retry: soon enough for a response within
 /// the latency target, and with jitter so that refused callers don't retry together.
 pub fn retry_after(state: &MeshState, latency_target: Duration, remaining: Duration) -> Duration {
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -98,7 +98,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES) * 2)
+        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES).saturating_mul(2))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- a/src/mesh/fleet/config.rs
+++ b/src/mesh/fleet/config.rs
@@ -30,7 +30,7 @@
     /// Time within which a response has its full value to the caller.
     pub latency_target: Duration,
     /// Priority of the requests; 0 is served first.
-    pub rank: u8,
+    pub rank: u32,
     pub services: SmallVec<[WeightedService; 2]>,
     /// Maximum number of endpoints that one attempt of a caller is sent to.
     pub max_attempts: u32,
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub struct WeightedService {
     pub service: Rc<str>,
-    pub weight: u32,
+    pub weight: f64,
 }
 
 /// Rule for the requests of one organisation, identified by its API keys.
@@ -51,7 +51,7 @@
     pub name: String,
     pub keys: Vec<String>,
     /// Priority of the requests, more significant than the rank of their route; 0 is served first.
-    pub rank: Option<u8>,
+    pub rank: Option<u32>,
     /// Limit of the request rate; none means unlimited.
     pub quota: Option<QuotaRule>,
 }
--- a/src/mesh/fleet/mod.rs
+++ b/src/mesh/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod daemon_order;
 mod peer;
+mod ranks;
 mod report;
 mod route_table;
 
@@ -14,6 +15,7 @@
 pub use daemon_order::daemon_order;
 pub use peer::Peer;
 pub use peer::PeerReply;
+pub use ranks::RANK_COUNT;
 pub use report::DaemonReport;
 pub use report::DaemonStatus;
 pub use report::EndpointReport;
--- a/src/mesh/fleet/route_table.rs
+++ b/src/mesh/fleet/route_table.rs
@@ -11,6 +11,7 @@
 use super::config::OrganisationRule;
 use super::config::RouteRule;
 use super::config::WeightedService;
+use super::ranks::compact_ranks;
 
 /// Hashes a name; all daemons of one build return the same hash.
 pub fn hash_name(name: &str) -> u32 {
@@ -28,8 +29,10 @@
 }
 
 impl RouteTable {
-    /// Indexes a configuration.
-    pub fn from_config(config: MeshConfig) -> Self {
+    /// Indexes a configuration. Its ranks are replaced by their position in the order, if they are
+    /// larger than the number of ranks that a call can carry.
+    pub fn from_config(mut config: MeshConfig) -> Self {
+        compact_ranks(&mut config);
         let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
             let prefixes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
@@ -80,11 +83,11 @@
 impl RouteRule {
     /// Picks one of the services at random, in proportion to their weights.
     pub fn pick_service(&self, rng: &mut impl Rng) -> Option<&WeightedService> {
-        let total: u32 = self.services.iter().map(|service| service.weight).sum();
-        if self.services.len() < 2 || total == 0 {
+        let total: f64 = self.services.iter().map(|service| service.weight).sum();
+        if self.services.len() < 2 || total <= 0.0 {
             return self.services.first();
         }
-        let mut drawn = rng.random_range(0..total);
+        let mut drawn = rng.random::<f64>() * total;
         for service in &self.services {
             if drawn < service.weight {
                 return Some(service);
--- a/tests/mesh/route_table.rs
+++ b/tests/mesh/route_table.rs
@@ -5,6 +5,7 @@
 
 use marigoldhatch::mesh::fleet::CallerLimits;
 use marigoldhatch::mesh::fleet::MeshConfig;
+use marigoldhatch::mesh::fleet::OrganisationRule;
 use marigoldhatch::mesh::fleet::RouteRule;
 use marigoldhatch::mesh::fleet::RouteTable;
 use marigoldhatch::mesh::fleet::WeightedService;
@@ -19,7 +20,7 @@
         .enumerate()
         .map(|(index, weight)| WeightedService {
             service: Rc::from(format!("service-{index}")),
-            weight: *weight,
+            weight: f64::from(*weight),
         })
         .collect();
     RouteRule {
@@ -89,3 +90,59 @@
     let share = picked.count() as f64 / 3000.0;
     assert!((share - 0.1).abs() < 0.02, "{share}");
 }
+
+fn ranked(route_ranks: &[u32], organisation_ranks: &[Option<u32>]) -> RouteTable {
+    let routes = route_ranks.iter().enumerate().map(|(index, rank)| {
+        let prefix = format!("/{index}/");
+        RouteRule {
+            rank: *rank,
+            ..route("ranked", "one.example", &prefix, &[1])
+        }
+    });
+    let organisations = organisation_ranks.iter().map(|rank| OrganisationRule {
+        name: "first".to_owned(),
+        keys: Vec::new(),
+        rank: *rank,
+        quota: None,
+    });
+    RouteTable::from_config(MeshConfig {
+        warnings: Vec::new(),
+        version: 1,
+        routes: routes.collect(),
+        organisations: organisations.collect(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1024,
+            idle_timeout: Duration::from_secs(15),
+        },
+    })
+}
+
+/// Guards against ranks of 16 and more that are served as if they were equal.
+#[rstest]
+#[case::small_ranks_are_kept(&[0, 2, 15], &[Some(9), None], &[0, 2, 15], &[Some(9), None])]
+#[case::large_ranks_keep_their_order(&[0, 300, 40], &[Some(41), None], &[0, 3, 1], &[Some(2), None])]
+#[case::equal_ranks_stay_equal(&[300, 300, 7], &[Some(7)], &[1, 1, 0], &[Some(0)])]
+#[case::largest_rank(&[u32::MAX, 1], &[], &[1, 0], &[])]
+fn ranks_keep_their_order(
+    #[case] route_ranks: &[u32],
+    #[case] organisation_ranks: &[Option<u32>],
+    #[case] expected_routes: &[u32],
+    #[case] expected_organisations: &[Option<u32>],
+) {
+    let table = ranked(route_ranks, organisation_ranks);
+    let config = table.config();
+    let routes: Vec<u32> = config.routes.iter().map(|route| route.rank).collect();
+    let organisations: Vec<_> = config.organisations.iter().map(|rule| rule.rank).collect();
+    assert_eq!(routes, expected_routes);
+    assert_eq!(organisations, expected_organisations);
+}
+
+#[test]
+fn more_ranks_than_positions_share_the_last_one() {
+    let route_ranks: Vec<u32> = (0..40).map(|index| index * 10).collect();
+    let table = ranked(&route_ranks, &[]);
+    let ranks: Vec<u32> = table.config().routes.iter().map(|one| one.rank).collect();
+    assert_eq!(ranks[..16], (0..16).collect::<Vec<u32>>());
+    assert!(ranks[16..].iter().all(|rank| *rank == 15), "{ranks:?}");
+}
--- a/tests/mesh/suspension.rs
+++ b/tests/mesh/suspension.rs
@@ -96,7 +96,7 @@
             rank: 1,
             services: std::iter::once(WeightedService {
                 service: Rc::from("archive"),
-                weight: 1,
+                weight: 1.0,
             })
             .collect(),
             max_attempts: 1,
