Take no configuration for proven while the newest can't be read

Cause: any answered read of the store proved that the configuration in force was the newest, also one whose record could not be decoded.

Why it works: from the first record that can't be decoded on, neither a read nor a peer's report renews the proof, so its age runs into the limit that refuses keys. The first configuration that can be read ends that.

--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -45,20 +45,20 @@
         (self.config_version(), self.raw_config.borrow().clone())
     }
 
-    /// Applies a configuration if it is newer than the one in force; one that cannot be decoded is
-    /// logged and ignored.
-    pub fn apply_config(&self, raw: &Bytes, source: &'static str) {
+    /// Applies a configuration if it is newer than the one in force; returns false if it cannot be
+    /// decoded, which is logged.
+    pub fn apply_config(&self, raw: &Bytes, source: &'static str) -> bool {
         let config = match (self.decode_config)(raw) {
             Ok(config) => config,
             Err(error) => {
                 let event = LogEvent::LogRecordBad.number();
                 tracing::warn!(event, source, error, "cannot decode a configuration");
-                return;
+                return false;
             }
         };
         let (old, new) = (self.config_version(), config.version);
         if new <= old {
-            return;
+            return true;
         }
         let event = LogEvent::ConfigInForce.number();
         let (routes, organisations) = (config.routes.len(), config.organisations.len());
@@ -82,11 +82,31 @@
             // failure domain fetch it from its relays.
             self.broadcast_report();
         }
+        self.unreadable_since.set(None);
+        true
+    }
+
+    /// Records whether the newest configuration of the store, read at the time `at` since boot, could be
+    /// decoded.
+    ///
+    /// One that could not be decoded is newer than the one in force and may have withdrawn a key, so from
+    /// then on nothing proves the one in force. See `docs/design/platform.md`.
+    pub fn set_newest_readable(&self, readable: bool, at: Duration) {
+        let since = self.unreadable_since.get().unwrap_or(at);
+        self.unreadable_since.set((!readable).then_some(since));
+    }
+
+    /// Returns true unless the newest configuration of the store could not be decoded.
+    pub fn newest_is_readable(&self) -> bool {
+        self.unreadable_since.get().is_none()
     }
 
     /// Records that `version` was the newest one at the time `at` since boot, which includes time
     /// that the VM was suspended.
     pub fn record_proof(&self, version: u64, at: Duration) {
+        if self.unreadable_since.get().is_some_and(|since| at >= since) {
+            return;
+        }
         // The version in force includes all changes of an older one, so its proof counts too.
         if version > 0 && version <= self.config_version() {
             self.proven_at.set(self.proven_at.get().max(Some(at)));
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -67,6 +67,8 @@
     raw_config: RefCell<Bytes>,
     /// Latest time since boot at which the configuration in force is known to have been the newest.
     proven_at: Cell<Option<Duration>>,
+    /// Time since boot from which the store's newest configuration is one that cannot be decoded.
+    unreadable_since: Cell<Option<Duration>>,
     reads_store: Cell<bool>,
     config_requested_at: Cell<Option<Instant>>,
     peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
@@ -125,6 +127,7 @@
             routes: RefCell::new(None),
             raw_config: RefCell::new(Bytes::new()),
             proven_at: Cell::new(None),
+            unreadable_since: Cell::new(None),
             reads_store: Cell::new(false),
             config_requested_at: Cell::new(None),
             peers: RefCell::new(HashMap::new()),
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -82,3 +82,24 @@
     state.apply_config(&Bytes::from_static(b"cut short"), "peer");
     assert_eq!(state.config_version(), 9);
 }
+
+/// Guards against the fault of review/1, by which a configuration that could not be decoded counted as a
+/// proof of the one in force (CONFIG).
+#[tokio::test]
+async fn nothing_is_proven_while_the_newest_configuration_cannot_be_decoded() {
+    let state = new_state();
+    assert!(state.apply_config(&Bytes::from_static(b"5"), "store"));
+    let unread_at = time_since_boot();
+    assert!(!state.apply_config(&Bytes::from_static(b"cut short"), "store"));
+    state.set_newest_readable(false, unread_at);
+    state.record_proof(5, time_since_boot());
+    assert!(state.proof_expired(), "a later read proves nothing");
+    state.set_newest_readable(false, time_since_boot());
+    state.record_proof(5, unread_at + Duration::from_nanos(1));
+    assert!(state.proof_expired(), "the first unreadable record counts");
+    let before = unread_at.saturating_sub(Duration::from_millis(1));
+    state.record_proof(5, before);
+    assert!(!state.proof_expired(), "a proof of the time before holds");
+    assert!(state.apply_config(&Bytes::from_static(b"9"), "peer"));
+    assert!(state.newest_is_readable(), "a newer version replaces it");
+}
