Remember the endpoints that deregister, announced or not

Cause: a deregistration was kept only if it named the announced endpoint, and acknowledged in any case. A daemon that has just started knows none, so a late announcement made the endpoint available again. The same held for an endpoint whose deregistration overtook its first announcement, and for a drain that arrived after a later announcement.

Why it works: a deregistration is stored with the latest start of an incarnation that it covers, whatever is announced, before it is acknowledged. Announcements of these incarnations are stale for a minute; announcements are late by seconds. A drain holds for the incarnation, so its order does not matter.

--- a/src/decisions/announcement/mod.rs
+++ b/src/decisions/announcement/mod.rs
@@ -1,9 +1,14 @@
 //! Tracks the state of the endpoint beside a daemon by its announcements.
 //!
-//! Announcements may arrive late, from an earlier incarnation, or with a reused identifier.
+//! Announcements may arrive late, from an earlier incarnation, or with a reused identifier. See
+//! `docs/incidents/forgotten-departure.md`.
+
+mod departures;
 
 use std::time::Duration;
 
+use departures::DepartureList;
+
 /// Number of consecutive missed announcements after which the endpoint receives no new calls.
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 3;
 
@@ -42,7 +47,10 @@
 pub struct EndpointTracker {
     announcement: Option<EndpointAnnouncement>,
     last_announced: Duration,
+    /// True if the announced endpoint has deregistered.
     deregistered: bool,
+    /// Endpoints that have deregistered, announced or not.
+    departures: DepartureList,
     unreachable: bool,
     /// True once a response has said that the endpoint leaves.
     leaving: bool,
@@ -64,8 +72,11 @@
 }
 
 impl EndpointTracker {
-    /// Applies an announcement, unless a newer one is known.
+    /// Applies an announcement, unless a newer one is known or the endpoint has deregistered.
     pub fn apply(&mut self, announcement: EndpointAnnouncement, now: Duration) -> EndpointChange {
+        if self.departures.contains(&announcement, now) {
+            return EndpointChange::Stale;
+        }
         let Some(known) = &self.announcement else {
             return self.replace(announcement, now, EndpointChange::Started);
         };
@@ -75,11 +86,14 @@
         if !announcement.is_same_incarnation(known) {
             return self.replace(announcement, now, EndpointChange::Started);
         }
-        if self.deregistered || announcement.sequence <= known.sequence {
+        let drains =
+            (known.state, announcement.state) == (EndpointState::Ready, EndpointState::Draining);
+        // A drain holds for the incarnation, so one that arrives late holds too.
+        if announcement.sequence <= known.sequence && !drains {
             return EndpointChange::Stale;
         }
         let change = match (known.state, announcement.state) {
-            (EndpointState::Ready, EndpointState::Draining) => EndpointChange::Draining,
+            _ if drains => EndpointChange::Draining,
             // A draining incarnation never becomes ready again.
             (EndpointState::Draining, EndpointState::Ready) => return EndpointChange::Stale,
             _ if self.unreachable => EndpointChange::Returned,
@@ -91,12 +105,25 @@
         change
     }
 
-    /// Deregisters the endpoint; returns true if `id` identifies the current one.
-    pub fn deregister(&mut self, id: &str) -> bool {
-        let is_current = self
-            .announcement
-            .as_ref()
-            .is_some_and(|announcement| announcement.id == id);
+    /// Deregisters an endpoint, which may be one that is not announced yet; returns true if it is the
+    /// current one.
+    ///
+    /// `born_ms` is the start of the incarnation, if the endpoint names it, and `wall_ms` the current
+    /// time, both in Unix milliseconds.
+    pub fn deregister(
+        &mut self,
+        id: &str,
+        born_ms: Option<u64>,
+        wall_ms: u64,
+        now: Duration,
+    ) -> bool {
+        let known = self.announcement.as_ref();
+        let known = known.filter(|known| known.id == id);
+        // Of the endpoints with this identifier, all that have started up to now have left.
+        let last_born_ms = born_ms.or(known.map(|known| known.born_ms));
+        let last_born_ms = last_born_ms.unwrap_or(wall_ms);
+        let is_current = known.is_some_and(|known| known.born_ms <= last_born_ms);
+        self.departures.add(id, last_born_ms, now);
         self.deregistered |= is_current;
         is_current
     }
--- a/src/mesh/control/announcements.rs
+++ b/src/mesh/control/announcements.rs
@@ -44,12 +44,21 @@
         }
     }
 
-    /// Handles the deregistration of the endpoint on this VM.
-    pub fn handle_deregistration(&self, id: &str) {
-        if self.executor.handle_deregistration(id) {
-            let event = LogEvent::EndpointSilent.number();
-            let service = &self.settings().service;
-            tracing::warn!(event, endpoint = id, service, "the endpoint deregistered");
+    /// Handles the deregistration of the endpoint on this VM, which starts to bind this daemon even if the
+    /// endpoint is not announced yet. `born_ms` is the start of its incarnation, if the endpoint names it.
+    pub fn handle_deregistration(&self, id: &str, born_ms: Option<u64>) {
+        let current = self.executor.handle_deregistration(id, born_ms);
+        let event = LogEvent::EndpointSilent.number();
+        let service = &self.settings().service;
+        tracing::warn!(
+            event,
+            endpoint = id,
+            born_ms,
+            service,
+            current,
+            "the endpoint deregistered"
+        );
+        if current {
             self.broadcast_report();
         }
     }
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -33,6 +33,7 @@
 use super::pool::ConnectionPool;
 use super::pool::EndpointConnection;
 use super::slots::SlotQueue;
+use crate::clock::wall_ms;
 use crate::clock::BootTime;
 use crate::clock::DeadlineClock;
 use crate::decisions::announcement::EndpointAnnouncement;
@@ -149,9 +150,12 @@
         change
     }
 
-    /// Handles a deregistration; returns true if it is that of the current endpoint.
-    pub fn handle_deregistration(&self, id: &str) -> bool {
-        let deregistered = self.tracker.borrow_mut().deregister(id);
+    /// Handles a deregistration of the incarnation that started at `born_ms`, if the endpoint names it;
+    /// returns true if it is that of the current endpoint.
+    pub fn handle_deregistration(&self, id: &str, born_ms: Option<u64>) -> bool {
+        let mut tracker = self.tracker.borrow_mut();
+        let deregistered = tracker.deregister(id, born_ms, wall_ms(), self.now());
+        drop(tracker);
         if deregistered {
             self.slots.reject_waiting();
         }
--- a/tests/mesh/announcement.rs
+++ b/tests/mesh/announcement.rs
@@ -8,6 +8,7 @@
 use marigoldhatch::decisions::announcement::EndpointChange;
 use marigoldhatch::decisions::announcement::EndpointState;
 use marigoldhatch::decisions::announcement::EndpointTracker;
+use rstest::rstest;
 
 const INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -72,7 +73,7 @@
     let mut tracker = EndpointTracker::default();
     let now = Duration::from_secs(1);
     tracker.apply(ready("a", 10, 40), now);
-    tracker.deregister("a");
+    tracker.deregister("a", None, 50, now);
     assert!(tracker.available(INTERVAL, now).is_none());
     assert_eq!(
         tracker.apply(ready("a", 11, 1), now),
@@ -85,7 +86,7 @@
 fn deregistration_of_another_id_is_ignored() {
     let mut tracker = EndpointTracker::default();
     tracker.apply(ready("new", 20, 1), Duration::from_secs(1));
-    assert!(!tracker.deregister("old"));
+    assert!(!tracker.deregister("old", None, 50, Duration::from_secs(1)));
     assert!(tracker
         .available(INTERVAL, Duration::from_secs(1))
         .is_some());
@@ -110,3 +111,77 @@
     );
     assert!(tracker.available(INTERVAL, late).is_some());
 }
+
+/// Guards against the fault of review/4, by which the deregistration of an endpoint that had not announced
+/// itself to this process was acknowledged and forgotten, so that a late announcement made it available (DRAIN).
+#[rstest]
+#[case::nothing_is_known(None, None)]
+#[case::birth_is_named(None, Some(10))]
+#[case::another_endpoint_is_known(Some(ready("other", 5, 1)), None)]
+#[case::an_earlier_incarnation_is_known(Some(ready("a", 5, 1)), Some(10))]
+fn late_announcement_of_a_deregistered_endpoint_is_stale(
+    #[case] known: Option<EndpointAnnouncement>,
+    #[case] born_ms: Option<u64>,
+) {
+    let mut tracker = EndpointTracker::default();
+    let now = Duration::from_secs(1);
+    if let Some(announcement) = known {
+        tracker.apply(announcement, now);
+    }
+    tracker.deregister("a", born_ms, 50, now);
+    let late = now + Duration::from_secs(8);
+    for sequence in [7, 8] {
+        let change = tracker.apply(ready("a", 10, sequence), late);
+        assert_eq!(change, EndpointChange::Stale);
+    }
+    let available = tracker.available(INTERVAL, late);
+    assert_ne!(available.map(|endpoint| &*endpoint.id), Some("a"));
+    let change = tracker.apply(ready("a", 51, 1), late);
+    assert_eq!(
+        change,
+        EndpointChange::Started,
+        "a later incarnation is used"
+    );
+    assert!(tracker.available(INTERVAL, late).is_some());
+}
+
+#[test]
+fn late_deregistration_of_an_earlier_incarnation_leaves_the_current_one() {
+    let mut tracker = EndpointTracker::default();
+    let now = Duration::from_secs(1);
+    tracker.apply(ready("a", 20, 1), now);
+    assert!(!tracker.deregister("a", Some(10), 50, now));
+    assert!(tracker.available(INTERVAL, now).is_some());
+    assert_eq!(
+        tracker.apply(ready("a", 20, 2), now),
+        EndpointChange::Nothing
+    );
+}
+
+#[test]
+fn departed_endpoints_take_bounded_memory() {
+    let mut tracker = EndpointTracker::default();
+    let now = Duration::from_secs(1);
+    for number in 0..100 {
+        tracker.deregister(&format!("a-{number}"), None, 50, now);
+    }
+    let last = tracker.apply(ready("a-99", 10, 1), now);
+    assert_eq!(last, EndpointChange::Stale);
+    let much_later = now + Duration::from_secs(61);
+    let returned = tracker.apply(ready("a-98", 10, 1), much_later);
+    assert_eq!(returned, EndpointChange::Started);
+}
+
+/// Guards against a drain that is acknowledged and not kept, as a later announcement arrived first (DRAIN).
+#[test]
+fn drain_that_arrives_late_holds() {
+    let mut tracker = EndpointTracker::default();
+    let now = Duration::from_secs(1);
+    tracker.apply(ready("a", 10, 5), now);
+    assert_eq!(
+        tracker.apply(draining("a", 10, 4), now),
+        EndpointChange::Draining
+    );
+    assert_eq!(tracker.apply(ready("a", 10, 6), now), EndpointChange::Stale);
+    assert!(tracker.available(INTERVAL, now).is_none());
+}
