Ask an endpoint that is older than the daemon whether it leaves

Cause: that an endpoint has deregistered, drains or said so in a response was known to the process that had heard it, and to nothing else. A late announcement made the endpoint available to the next process.

Why it works: the endpoint itself can't have forgotten that it leaves, and a status check is answered while the store is down. Only endpoints that started before the daemon are asked, once, so that nothing is added to a drain; a record in the store would add a write to each.

--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod thread;
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -239,6 +240,7 @@
         version: 1,
         routes: vec![route],
         organisations: Vec::new(),
+        status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
--- a/src/decisions/announcement/mod.rs
+++ b/src/decisions/announcement/mod.rs
@@ -42,9 +42,34 @@
     }
 }
 
+/// What an endpoint says of itself in a status check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointStatus {
+    /// It serves requests and doesn't leave.
+    Serving,
+    /// It leaves or fails, or another endpoint has its address.
+    Unavailable,
+    /// It gave no answer that tells.
+    Unknown,
+}
+
+/// Whether an endpoint is known not to have left before this daemon started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum EndpointConfirmation {
+    #[default]
+    Confirmed,
+    /// A status check is due.
+    Unchecked,
+    /// The status check told nothing; the next announcement counts.
+    Unknown,
+}
+
 /// State of the endpoint beside a daemon, derived from its announcements.
 #[derive(Debug, Default)]
 pub struct EndpointTracker {
+    /// Start of the daemon in Unix milliseconds.
+    started_ms: u64,
+    confirmation: EndpointConfirmation,
     announcement: Option<EndpointAnnouncement>,
     last_announced: Duration,
     /// True if the announced endpoint has deregistered.
@@ -72,6 +97,17 @@
 }
 
 impl EndpointTracker {
+    /// Creates a tracker in a daemon that started at `started_ms`, in Unix milliseconds.
+    ///
+    /// An earlier process of the daemon may have acknowledged that an endpoint leaves which is older than
+    /// that, so such an endpoint is available only after [`Self::record_status`].
+    pub fn from_start(started_ms: u64) -> Self {
+        Self {
+            started_ms,
+            ..Self::default()
+        }
+    }
+
     /// Applies an announcement, unless a newer one is known or the endpoint has deregistered.
     pub fn apply(&mut self, announcement: EndpointAnnouncement, now: Duration) -> EndpointChange {
         if self.departures.contains(&announcement, now) {
@@ -97,8 +133,12 @@
             // A draining incarnation never becomes ready again.
             (EndpointState::Draining, EndpointState::Ready) => return EndpointChange::Stale,
             _ if self.unreachable => EndpointChange::Returned,
+            _ if self.confirmation == EndpointConfirmation::Unknown => EndpointChange::Returned,
             _ => EndpointChange::Nothing,
         };
+        if self.confirmation == EndpointConfirmation::Unknown {
+            self.confirmation = EndpointConfirmation::Confirmed;
+        }
         self.unreachable = false;
         self.announcement = Some(announcement);
         self.last_announced = now;
@@ -128,6 +168,42 @@
         is_current
     }
 
+    /// Returns the last announcement if a status check must tell whether the endpoint has left before this
+    /// daemon started.
+    pub fn unchecked(&self) -> Option<&EndpointAnnouncement> {
+        let is_due = self.confirmation == EndpointConfirmation::Unchecked
+            && !self.deregistered
+            && !self.leaving;
+        let announcement = self.announcement.as_ref().filter(|_| is_due)?;
+        (announcement.state == EndpointState::Ready).then_some(announcement)
+    }
+
+    /// Records the result of a status check of the endpoint that made the announcement `checked`; returns
+    /// true if it is confirmed now.
+    ///
+    /// An endpoint of which a check told nothing is confirmed by its next announcement, as one that
+    /// has left makes none.
+    pub fn record_status(
+        &mut self,
+        checked: &EndpointAnnouncement,
+        status: EndpointStatus,
+    ) -> bool {
+        let Some(known) = self.unchecked() else {
+            return false;
+        };
+        if !known.is_same_incarnation(checked) {
+            return false;
+        }
+        let announced_since = known.sequence > checked.sequence;
+        self.confirmation = match status {
+            EndpointStatus::Serving => EndpointConfirmation::Confirmed,
+            EndpointStatus::Unavailable => EndpointConfirmation::Unchecked,
+            EndpointStatus::Unknown if announced_since => EndpointConfirmation::Confirmed,
+            EndpointStatus::Unknown => EndpointConfirmation::Unknown,
+        };
+        self.confirmation == EndpointConfirmation::Confirmed
+    }
+
     /// Records a response that says that the endpoint leaves; returns true if that is new. Like a drain,
     /// it holds for the incarnation.
     pub fn mark_leaving(&mut self) -> bool {
@@ -147,7 +223,8 @@
     /// Returns the last announcement if the endpoint may receive new calls.
     pub fn available(&self, interval: Duration, now: Duration) -> Option<&EndpointAnnouncement> {
         let silent = now.saturating_sub(self.last_announced) > interval * MAX_MISSED_ANNOUNCEMENTS;
-        if self.deregistered || self.unreachable || self.leaving || silent {
+        let confirmed = self.confirmation == EndpointConfirmation::Confirmed;
+        if self.deregistered || self.unreachable || self.leaving || silent || !confirmed {
             return None;
         }
         self.announcement
@@ -174,6 +251,11 @@
         self.deregistered = false;
         self.unreachable = false;
         self.leaving = false;
+        self.confirmation = if announcement.born_ms < self.started_ms {
+            EndpointConfirmation::Unchecked
+        } else {
+            EndpointConfirmation::Confirmed
+        };
         self.announcement = Some(announcement);
         self.last_announced = now;
         change
--- a/src/mesh/control/mod.rs
+++ b/src/mesh/control/mod.rs
@@ -8,4 +8,5 @@
 mod peer_link;
 
 pub use allocation::update_shares;
+pub use announcements::confirm_endpoints;
 pub use peer_link::maintain_link;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::control::confirm_endpoints;
 use super::control::update_shares;
 use super::entry::serve_callers;
 use super::executor::accept_links;
@@ -53,6 +54,7 @@
         tokio::task::spawn_local(accept_links(state.clone(), links));
         tokio::task::spawn_local(serve_callers(state.clone(), callers, stopped));
         tokio::task::spawn_local(update_shares(state.clone()));
+        tokio::task::spawn_local(confirm_endpoints(state.clone()));
         Ok(Self { state, stop })
     }
 
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::super::body_budget::BodyBudget;
@@ -38,6 +39,7 @@
 use crate::clock::DeadlineClock;
 use crate::decisions::announcement::EndpointAnnouncement;
 use crate::decisions::announcement::EndpointChange;
+use crate::decisions::announcement::EndpointStatus;
 use crate::decisions::announcement::EndpointTracker;
 use crate::decisions::placement::usable_slots;
 use crate::decisions::root_admission::ServiceUsage;
@@ -96,6 +98,8 @@
     clock: Rc<DeadlineClock>,
     started: Instant,
     tracker: RefCell<EndpointTracker>,
+    /// Notified after each announcement.
+    pub announced: Notify,
     slots: Rc<SlotQueue>,
     pool: ConnectionPool,
     parents: RefCell<ParentTable>,
@@ -116,7 +120,8 @@
             announce_interval: Cell::new(announce_interval),
             clock,
             started: Instant::now(),
-            tracker: RefCell::new(EndpointTracker::default()),
+            tracker: RefCell::new(EndpointTracker::from_start(wall_ms())),
+            announced: Notify::new(),
             slots: SlotQueue::new(),
             pool: ConnectionPool::default(),
             parents: RefCell::new(ParentTable::default()),
@@ -147,9 +152,20 @@
             EndpointChange::Nothing => self.slots.set_limit(usable_slots(slots)),
             EndpointChange::Stale => {}
         }
+        self.announced.notify_one();
         change
     }
 
+    /// Returns the announcement of an endpoint that a status check must confirm.
+    pub fn unchecked_endpoint(&self) -> Option<EndpointAnnouncement> {
+        self.tracker.borrow().unchecked().cloned()
+    }
+
+    /// Records the result of a status check; returns true if the endpoint is confirmed now.
+    pub fn record_status(&self, checked: &EndpointAnnouncement, status: EndpointStatus) -> bool {
+        self.tracker.borrow_mut().record_status(checked, status)
+    }
+
     /// Handles a deregistration of the incarnation that started at `born_ms`, if the endpoint names it;
     /// returns true if it is that of the current endpoint.
     pub fn handle_deregistration(&self, id: &str, born_ms: Option<u64>) -> bool {
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod serve;
 mod slots;
+mod status_check;
 
 pub use calls::CallState;
 pub use calls::CallTable;
@@ -27,3 +28,6 @@
 pub use serve::read_hello;
 pub use slots::SlotPermit;
 pub use slots::SlotQueue;
+pub use status_check::check_status;
+pub use status_check::classify_status;
+pub use status_check::StatusError;
--- /dev/null
+++ b/src/mesh/executor/status_check.rs
@@ -0,0 +1,92 @@
+//! Asks an endpoint whether it serves or leaves.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use hyper::header::HOST;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::Uri;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use super::super::header_names::HeaderNames;
+use super::pool::connect;
+use crate::decisions::announcement::EndpointAnnouncement;
+use crate::decisions::announcement::EndpointStatus;
+
+/// Time in which an endpoint answers; one that is full may not have a slot for the check.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reasons why an endpoint could not be asked.
+#[derive(Debug, Error)]
+pub enum StatusError {
+    #[error("the path {0:?} of the status check isn't valid")]
+    InvalidPath(String),
+    #[error("can't connect to the endpoint: {0}")]
+    Unreachable(#[from] std::io::Error),
+    #[error("the status check failed: {0}")]
+    Failed(#[from] hyper::Error),
+    #[error("the endpoint didn't answer the status check in {CHECK_TIMEOUT:?}")]
+    TimedOut,
+}
+
+/// Sends a status check to the endpoint that made an announcement.
+///
+/// # Errors
+///
+/// Returns an error if the endpoint can't be reached or doesn't answer in time.
+pub async fn check_status(
+    names: &HeaderNames,
+    announcement: &EndpointAnnouncement,
+    path: &str,
+) -> Result<EndpointStatus, StatusError> {
+    let target: Uri = path
+        .parse()
+        .map_err(|_| StatusError::InvalidPath(path.to_owned()))?;
+    let exchange = request_status(announcement.address, target);
+    let result = timeout(CHECK_TIMEOUT, exchange).await;
+    let (status, headers) = result.map_err(|_| StatusError::TimedOut)??;
+    Ok(classify_status(names, &announcement.id, status, &headers))
+}
+
+async fn request_status(
+    address: SocketAddrV4,
+    target: Uri,
+) -> Result<(StatusCode, HeaderMap), StatusError> {
+    let mut connection = connect(address).await?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = target;
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let response = connection.sender.send_request(request).await?;
+    let (head, _) = response.into_parts();
+    Ok((head.status, head.headers))
+}
+
+/// Returns what the answer to a status check of the endpoint `id` says.
+pub fn classify_status(
+    names: &HeaderNames,
+    id: &str,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> EndpointStatus {
+    let answered_by = headers.get(&names.endpoint);
+    let answered_by = answered_by.map(|value| value.as_bytes() == id.as_bytes());
+    let is_refused = headers.contains_key(&names.not_executed);
+    let leaves = headers
+        .get(&names.leaving)
+        .is_some_and(|value| value.as_bytes() == b"1");
+    match (answered_by, status) {
+        _ if leaves => EndpointStatus::Unavailable,
+        (Some(false), _) => EndpointStatus::Unavailable,
+        (Some(true), StatusCode::OK) => EndpointStatus::Serving,
+        (_, StatusCode::SERVICE_UNAVAILABLE) if !is_refused => EndpointStatus::Unavailable,
+        _ => EndpointStatus::Unknown,
+    }
+}
--- a/src/mesh/fleet/config.rs
+++ b/src/mesh/fleet/config.rs
@@ -1,5 +1,6 @@
 //! Types of the operator's configuration, independent of the platform's format.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
     pub version: u64,
     pub routes: Vec<RouteRule>,
     pub organisations: Vec<OrganisationRule>,
+    /// Paths of status checks by service.
+    pub status_paths: HashMap<String, String>,
     pub limits: CallerLimits,
     /// Parts of the configuration that were not understood, for the log.
     pub warnings: Vec<String>,
--- a/src/mesh/fleet/route_table.rs
+++ b/src/mesh/fleet/route_table.rs
@@ -56,6 +56,11 @@
         &self.config
     }
 
+    /// Returns the path of status checks of a service, if its endpoints answer any.
+    pub fn status_path(&self, service: &str) -> Option<&str> {
+        self.config.status_paths.get(service).map(String::as_str)
+    }
+
     /// Returns the route of this host with the longest matching path prefix.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRule> {
         let name = host.split(':').next().unwrap_or(host);
--- a/src/mesh/header_names.rs
+++ b/src/mesh/header_names.rs
@@ -23,4 +23,6 @@
     pub request_rate: HeaderName,
     /// Present on the responses of an endpoint that leaves.
     pub leaving: HeaderName,
+    /// Identifier of the endpoint that answers a status check.
+    pub endpoint: HeaderName,
 }
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -35,6 +35,7 @@
     EndpointSilent = 1102, "The endpoint on this VM stopped announcing itself.";
     EndpointLimited = 1103, "The endpoint on this VM named or withdrew a limit of requests per second.";
     EndpointLeaving = 1104, "The endpoint on this VM said in a response that it leaves.";
+    EndpointChecked = 1105, "The endpoint on this VM, which is older than the daemon, was asked whether it leaves.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/standins/src/mesh.rs
+++ b/standins/src/mesh.rs
@@ -22,6 +22,7 @@
         response_seal: HeaderName::from_static("x-seal"),
         request_rate: HeaderName::from_static("x-rate"),
         leaving: HeaderName::from_static("x-leaving"),
+        endpoint: HeaderName::from_static("x-endpoint"),
     }
 }
 
--- a/tests/mesh/announcement.rs
+++ b/tests/mesh/announcement.rs
@@ -7,6 +7,7 @@
 use marigoldhatch::decisions::announcement::EndpointAnnouncement;
 use marigoldhatch::decisions::announcement::EndpointChange;
 use marigoldhatch::decisions::announcement::EndpointState;
+use marigoldhatch::decisions::announcement::EndpointStatus;
 use marigoldhatch::decisions::announcement::EndpointTracker;
 use rstest::rstest;
 
@@ -185,3 +186,57 @@
     assert_eq!(tracker.apply(ready("a", 10, 6), now), EndpointChange::Stale);
     assert!(tracker.available(INTERVAL, now).is_none());
 }
+
+fn restarted(endpoint: EndpointAnnouncement, now: Duration) -> EndpointTracker {
+    let mut tracker = EndpointTracker::from_start(50);
+    assert_eq!(tracker.apply(endpoint, now), EndpointChange::Started);
+    tracker
+}
+
+#[test]
+fn endpoint_younger_than_the_daemon_needs_no_status_check() {
+    let now = Duration::from_secs(1);
+    let tracker = restarted(ready("a", 51, 1), now);
+    assert!(tracker.unchecked().is_none());
+    assert!(tracker.available(INTERVAL, now).is_some());
+}
+
+#[rstest]
+#[case::serving(EndpointStatus::Serving, true, true)]
+#[case::unavailable(EndpointStatus::Unavailable, false, false)]
+#[case::unknown(EndpointStatus::Unknown, false, true)]
+fn endpoint_older_than_the_daemon_is_available_after_a_status_check(
+    #[case] status: EndpointStatus,
+    #[case] at_once: bool,
+    #[case] with_next_announcement: bool,
+) {
+    let now = Duration::from_secs(1);
+    let mut tracker = restarted(ready("a", 10, 4), now);
+    assert!(tracker.available(INTERVAL, now).is_none());
+    assert_eq!(tracker.record_status(&ready("a", 10, 4), status), at_once);
+    assert_eq!(tracker.available(INTERVAL, now).is_some(), at_once);
+    tracker.apply(ready("a", 10, 5), now);
+    let available = tracker.available(INTERVAL, now).is_some();
+    assert_eq!(available, with_next_announcement);
+    assert_eq!(tracker.unchecked().is_some(), !with_next_announcement);
+}
+
+#[test]
+fn status_check_that_an_announcement_overtakes_counts_with_it() {
+    let now = Duration::from_secs(1);
+    let mut tracker = restarted(ready("a", 10, 4), now);
+    tracker.apply(ready("a", 10, 5), now);
+    assert!(tracker.record_status(&ready("a", 10, 4), EndpointStatus::Unknown));
+}
+
+#[rstest]
+#[case::drained(draining("a", 10, 5))]
+#[case::replaced(ready("b", 60, 1))]
+fn late_status_check_changes_nothing(#[case] next: EndpointAnnouncement) {
+    let now = Duration::from_secs(1);
+    let mut tracker = restarted(ready("a", 10, 4), now);
+    tracker.apply(next, now);
+    let before = tracker.available(INTERVAL, now).cloned();
+    assert!(!tracker.record_status(&ready("a", 10, 4), EndpointStatus::Serving));
+    assert_eq!(tracker.available(INTERVAL, now), before.as_ref());
+}
--- a/tests/mesh/classify.rs
+++ b/tests/mesh/classify.rs
@@ -3,7 +3,9 @@
 use hyper::header::HeaderValue;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use marigoldhatch::decisions::announcement::EndpointStatus;
 use marigoldhatch::mesh::executor::classify_response;
+use marigoldhatch::mesh::executor::classify_status;
 use marigoldhatch::mesh::executor::ResponseClass;
 use marigoldhatch::mesh::link::RefusalCause;
 use marigoldhatch_standins::mesh::plain_header_names;
@@ -53,3 +55,26 @@
     let status = StatusCode::from_u16(status).expect("valid status code");
     classify_response(&plain_header_names(), Some(b"a"), status, &headers, reused)
 }
+
+#[rstest]
+#[case::serving(200, &[("x-endpoint", "a")], EndpointStatus::Serving)]
+#[case::leaving(503, &[("x-endpoint", "a")], EndpointStatus::Unavailable)]
+#[case::leaving_without_identity(503, &[], EndpointStatus::Unavailable)]
+#[case::leaving_by_header(200, &[("x-endpoint", "a"), ("x-leaving", "1")], EndpointStatus::Unavailable)]
+#[case::full(503, &[("x-not-run", "1")], EndpointStatus::Unknown)]
+#[case::another_endpoint(200, &[("x-endpoint", "b")], EndpointStatus::Unavailable)]
+#[case::without_identity(200, &[], EndpointStatus::Unknown)]
+#[case::no_such_path(404, &[], EndpointStatus::Unknown)]
+fn answer_to_a_status_check_tells_whether_the_endpoint_serves(
+    #[case] status: u16,
+    #[case] pairs: &[(&'static str, &'static str)],
+    #[case] expected: EndpointStatus,
+) {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        headers.insert(*name, HeaderValue::from_static(value));
+    }
+    let status = StatusCode::from_u16(status).expect("a status");
+    let found = classify_status(&plain_header_names(), "a", status, &headers);
+    assert_eq!(found, expected);
+}
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -1,6 +1,7 @@
 //! Age of the proof that a daemon's configuration is the newest, so that no key withdrawal is
 //! missed.
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -40,6 +41,7 @@
             .map_err(|_| format!("expected a version number, got {text:?}"))?,
         routes: Vec::new(),
         organisations: Vec::new(),
+        status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
--- a/tests/mesh/route_table.rs
+++ b/tests/mesh/route_table.rs
@@ -1,5 +1,6 @@
 //! Lookup of routes by host and longest path prefix, and weighted choice of a service.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,7 @@
         version: 1,
         routes,
         organisations: Vec::new(),
+        status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
@@ -110,6 +112,7 @@
         version: 1,
         routes: routes.collect(),
         organisations: organisations.collect(),
+        status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
--- a/tests/mesh/suspension.rs
+++ b/tests/mesh/suspension.rs
@@ -4,6 +4,7 @@
 //! timers of the runtime are not, as after a suspension.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -103,6 +104,7 @@
             allows_anonymous: false,
         }],
         organisations: Vec::new(),
+        status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
