Bound the bytes that an endpoint sends around a response

Callers saw: nothing yet. In a test, calls to an endpoint that sends interim responses without end took 9.5 s where their route allows 4 s.

Cause: hyper reads 1xx responses in a loop, with no bound on their number. With 150 calls at once the only thread was busy with them, and the timers of all deadlines were late.

Evidence: many_endless_responses_at_once_stay_within_the_memory failed for interim responses on the commit before and held for the other seven parts of a response. Idle connections, status checks and callers that read nothing stayed under 64 MB: the report of a full memory could not be shown.

Why it works: the connection fails after 128 kB before the end of a head, twice the largest head, so that the work for one call has a bound.

--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -33,6 +33,7 @@
 use super::pool::connect;
 use super::pool::ConnectionPool;
 use super::pool::EndpointConnection;
+use super::pool::MAX_HEAD_READ_BYTES;
 use super::slots::SlotQueue;
 use crate::clock::wall_ms;
 use crate::clock::BootTime;
@@ -54,6 +55,9 @@
 /// Maximum size of a response body. An endpoint in trouble may send bytes without end.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum number of bytes of a body with the frames around its chunks.
+const MAX_BODY_READ_BYTES: usize = 4 * MAX_RESPONSE_BYTES;
+
 /// A call that an endpoint is to run.
 #[derive(Debug, Clone)]
 pub struct CallRequest {
@@ -318,6 +322,7 @@
         let attempt_id = self.attempt_id(call);
         let guard =
             ParentGuard::from_request(&self.parents, call.deadline, attempt_id, call.origin);
+        connection.allowance.set(MAX_HEAD_READ_BYTES);
         let sent = connection.sender.try_send_request(request);
         let response = match self.clock.timeout_at(until, sent).await {
             Some(Ok(response)) => response,
@@ -365,6 +370,7 @@
             self.log_unknown_outcome(call, "the response does not belong to this call");
             return CallOutcome::Unknown;
         }
+        connection.allowance.set(MAX_BODY_READ_BYTES);
         let read = read_body(body, MAX_RESPONSE_BYTES, &self.body_budget);
         if class != ResponseClass::Refused(RefusalCause::EndpointReplaced) {
             self.apply_limits(announcement, &head.headers);
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod classify;
 mod endpoint;
+mod limited_stream;
 mod limits;
 mod parents;
 mod pool;
--- a/src/mesh/executor/pool.rs
+++ b/src/mesh/executor/pool.rs
@@ -16,12 +16,17 @@
 use tokio::time::Instant;
 
 use super::super::link::configure_stream;
+use super::limited_stream::LimitedStream;
+use super::limited_stream::ReadAllowance;
 
 /// Timeout of a connection attempt. An endpoint on the same VM that doesn't accept in this time is
 /// not running.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum size of a connection's read buffer, and so of a response's headers.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes up to the end of a response's headers, with interim responses and the part of
+/// the body that is read with them.
+pub const MAX_HEAD_READ_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 /// Idle time after which a connection is not reused, if the endpoint sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the endpoint's `Keep-Alive` timeout for which an idle connection is reused. The
@@ -34,6 +39,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// True if the connection has carried a call before.
     pub reused: bool,
+    /// Bytes that may still be read.
+    pub allowance: ReadAllowance,
     driver: AbortHandle,
     idle_since: Instant,
     idle_timeout: Duration,
@@ -107,9 +114,11 @@
 pub async fn connect(address: SocketAddrV4) -> std::io::Result<EndpointConnection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     configure_stream(&stream)?;
+    let allowance = ReadAllowance::from_bytes(MAX_HEAD_READ_BYTES);
+    let limited = LimitedStream::from_stream(stream, allowance.clone());
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(limited))
         .await
         .map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
@@ -119,6 +128,7 @@
     Ok(EndpointConnection {
         sender,
         reused: false,
+        allowance,
         driver: task.abort_handle(),
         idle_since: Instant::now(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
