Wait in a stop until all responses are written

Cause: a request counted as open until its response was built. What was still to be written to the caller, or on the link to the daemon that waits for it, was not counted, and the process ended 50 ms later.

Why it works: the stop waits, within its grace, for callers' connections, which end after their last response, and for the queues of links.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -23,8 +23,8 @@
 /// Reserved part of the shutdown's grace period, so that the last responses are sent before the
 /// process is killed.
 const GRACE_RESERVE: Duration = Duration::from_millis(500);
-/// Interval between two checks for open requests, and time after the last response in which the
-/// socket buffers are sent.
+/// Interval between two checks for open requests and responses, and time after the last response in which
+/// the socket buffers are sent.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A running daemon, which must be used on a thread with a `LocalSet`.
@@ -99,6 +99,7 @@
     }
 
     fn is_busy(&self) -> bool {
-        self.state.open_requests() > 0 || self.state.executor.in_hand() > 0
+        let runs_calls = self.state.open_requests() > 0 || self.state.executor.in_hand() > 0;
+        runs_calls || self.state.has_unsent_responses()
     }
 }
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -93,6 +93,8 @@
     let limits = state.routes().map(|routes| routes.config().limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    state.adjust_open_connections(1);
+    let _guard = ConnectionGuard { state: &state };
     let service_state = state.clone();
     let service = service_fn(move |request| respond(service_state.clone(), request));
     let connection = http1::Builder::new()
@@ -114,6 +116,17 @@
     }
 }
 
+/// Counts a caller's connection as open until all responses are written.
+struct ConnectionGuard<'a> {
+    state: &'a MeshState,
+}
+
+impl Drop for ConnectionGuard<'_> {
+    fn drop(&mut self) {
+        self.state.adjust_open_connections(-1);
+    }
+}
+
 /// Counts a request as open until it has its response or its caller disconnects.
 struct OpenRequestGuard<'a> {
     state: &'a MeshState,
--- a/src/mesh/link/stream.rs
+++ b/src/mesh/link/stream.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Clone)]
 pub struct LinkSender {
     queue: mpsc::UnboundedSender<Bytes>,
+    /// Number of messages that are not yet written to the connection.
+    unsent: Rc<Cell<usize>>,
     traffic: Rc<LinkTraffic>,
     crosses_domains: Rc<Cell<bool>>,
 }
@@ -73,6 +75,7 @@
     pub fn send_encoded(&self, frame: &EncodedFrame) -> bool {
         let sent = self.queue.send(frame.bytes.clone()).is_ok();
         if sent {
+            self.unsent.set(self.unsent.get() + 1);
             let crosses = self.crosses_domains.get();
             let head_bytes = frame.bytes.len() - frame.body_bytes;
             self.traffic
@@ -94,6 +97,11 @@
         self.queue.same_channel(&other.queue)
     }
 
+    /// Returns true if messages wait to be written to the connection.
+    pub fn has_unsent(&self) -> bool {
+        self.unsent.get() > 0 && !self.is_closed()
+    }
+
     /// Returns true if the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
@@ -115,12 +123,15 @@
     let (input, output) = stream.into_split();
     let (queue, frames) = mpsc::unbounded_channel();
     let writer = FramedWrite::new(output, codec.clone());
+    let unsent = Rc::new(Cell::new(0));
+    let counter = unsent.clone();
     tokio::task::spawn_local(async move {
         // The reader detects the end of the connection too, so a write error is ignored here.
-        drop(write_frames(writer, frames).await);
+        drop(write_frames(writer, frames, &counter).await);
     });
     let sender = LinkSender {
         queue,
+        unsent,
         traffic: traffic.clone(),
         crosses_domains: Rc::new(Cell::new(true)),
     };
@@ -134,13 +145,16 @@
 async fn write_frames(
     mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     mut frames: mpsc::UnboundedReceiver<Bytes>,
+    unsent: &Cell<usize>,
 ) -> Result<()> {
     let mut segments = SegmentQueue::default();
     while let Some(first) = frames.recv().await {
         let mut next = Some(first);
+        let mut taken = 0;
         loop {
             // Other tasks may have queued more messages by now; they are sent with one flush.
             while let Some(message) = next.take().or_else(|| frames.try_recv().ok()) {
+                taken += 1;
                 if let Some(packet) = segments.push(message) {
                     writer.feed(packet).await?;
                 }
@@ -152,6 +166,7 @@
             writer.send(packet).await?;
         }
         SinkExt::<Bytes>::flush(&mut writer).await?;
+        unsent.set(unsent.get() - taken);
     }
     SinkExt::<Bytes>::close(&mut writer).await
 }
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -92,6 +92,7 @@
     /// Time at which this daemon ends, once callers' readiness checks have seen that it stops.
     closes_at: Cell<Option<BootTime>>,
     open_requests: Cell<u32>,
+    open_connections: Cell<u32>,
 }
 
 impl MeshState {
@@ -146,6 +147,7 @@
             stopping: Cell::new(false),
             closes_at: Cell::new(None),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
         })
     }
 
@@ -301,6 +303,19 @@
         closes_at.is_none_or(|closes_at| deadline <= closes_at)
     }
 
+    /// Returns true if a response is not yet written to its caller or to the daemon that waits for it.
+    pub fn has_unsent_responses(&self) -> bool {
+        let subscribers = self.subscribers.borrow();
+        self.open_connections.get() > 0 || subscribers.iter().any(LinkSender::has_unsent)
+    }
+
+    /// Adds `change` to the number of callers' connections.
+    pub fn adjust_open_connections(&self, change: i32) {
+        let open_connections = self.open_connections.get();
+        self.open_connections
+            .set(open_connections.saturating_add_signed(change));
+    }
+
     /// Returns the number of callers' requests that have no response yet.
     pub fn open_requests(&self) -> u32 {
         self.open_requests.get()
