Close a connection that still sends the body of a rejected call

Cause: a call that an endpoint rejects before it has read the body leaves its connection in the pool. The next call waited on it without a bound, behind the rest of the body, and the endpoint's state was not looked at again.

Why it works: a connection that does not accept a call within 50 ms is closed and another is used; a complete exchange makes it ready within microseconds. After the wait a call is sent only if its endpoint is still available.

--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -298,6 +298,11 @@
                     return CallOutcome::Refused(RefusalCause::EndpointGone);
                 }
             };
+            // The endpoint may have left while the call waited for the connection.
+            let current = self.usable_endpoint_for(&call.service);
+            if current.is_none_or(|current| !current.is_same_incarnation(&announcement)) {
+                return CallOutcome::Refused(RefusalCause::EndpointGone);
+            }
             if let Some(outcome) = self
                 .exchange(call, &announcement, connection, forwarded)
                 .await
--- a/src/mesh/executor/pool.rs
+++ b/src/mesh/executor/pool.rs
@@ -22,6 +22,8 @@
 /// Timeout of a connection attempt. An endpoint on the same VM that doesn't accept in this time is
 /// not running.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which a connection accepts the next call after a complete exchange.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum size of a connection's read buffer, and so of a response's headers.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes up to the end of a response's headers, with interim responses and the part of
@@ -60,14 +62,18 @@
 
 impl ConnectionPool {
     /// Takes the most recently used connection, which is the least likely to have been closed.
+    ///
+    /// A connection on which the body of an earlier call is still being sent is closed: the endpoint has
+    /// rejected that call, and the next one would wait behind the rest of it.
     pub async fn take(&self) -> Option<EndpointConnection> {
         loop {
             let mut connection = self.idle.borrow_mut().pop()?;
             let unexpired = connection.idle_since.elapsed() < connection.idle_timeout;
-            if unexpired
-                && !connection.sender.is_closed()
-                && connection.sender.ready().await.is_ok()
-            {
+            if !unexpired || connection.sender.is_closed() {
+                continue;
+            }
+            let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
                 return Some(connection);
             }
         }
