Bound the memory of the outcomes that are kept for broken links

Cause: outcomes of calls that may run once only were kept for 30 s, in copies that the budget for bodies did not count.

Why it works: all kept outcomes take at most a quarter of the budget, the oldest go first, and an entry that asks for one of them learns that the call may have run. Entries ask within the first moments after a link breaks.

--- a/src/mesh/executor/calls.rs
+++ b/src/mesh/executor/calls.rs
@@ -35,18 +35,40 @@
     },
     /// The call has completed; holds the encoded frame with its outcome.
     Completed(EncodedFrame),
+    /// The call has completed, and its outcome had no room any more.
+    Forgotten,
     /// The call was not forwarded and never will be.
     Rejected,
 }
 
 /// Running and recently completed calls of all entries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallTable {
     calls: HashMap<CallId, CallState>,
     completed: VecDeque<(Instant, CallId)>,
+    /// Calls whose outcomes are retained, the oldest first.
+    outcomes: VecDeque<CallId>,
+    outcome_bytes: usize,
+    max_outcome_bytes: usize,
 }
 
 impl CallTable {
+    /// Creates a table that retains outcomes of at most this many bytes together.
+    pub fn from_limit(max_outcome_bytes: usize) -> Self {
+        Self {
+            calls: HashMap::new(),
+            completed: VecDeque::new(),
+            outcomes: VecDeque::new(),
+            outcome_bytes: 0,
+            max_outcome_bytes,
+        }
+    }
+
+    /// Returns the bytes of all retained outcomes.
+    pub fn outcome_bytes(&self) -> usize {
+        self.outcome_bytes
+    }
+
     /// Adds a call; returns false if the call is known already and must not run.
     pub fn insert(&mut self, id: CallId, state: CallState) -> bool {
         if self.calls.contains_key(&id) {
@@ -80,7 +102,10 @@
             return None;
         };
         if !idempotent {
+            self.outcome_bytes += outcome.bytes.len();
+            self.outcomes.push_back(id);
             self.retain(id, CallState::Completed(outcome), now);
+            self.forget_outcomes();
         }
         Some(reply_to)
     }
@@ -137,8 +162,33 @@
             if now.duration_since(*completed_at) < COMPLETED_CALL_RETENTION {
                 break;
             }
-            self.calls.remove(oldest);
+            if let Some(CallState::Completed(outcome)) = self.calls.remove(oldest) {
+                self.outcome_bytes -= outcome.bytes.len();
+            }
             self.completed.pop_front();
         }
     }
+
+    /// Drops the oldest outcomes until the others have room.
+    fn forget_outcomes(&mut self) {
+        while self.outcome_bytes > self.max_outcome_bytes {
+            let Some(oldest) = self.outcomes.pop_front() else {
+                return;
+            };
+            if let Some(state @ CallState::Completed(_)) = self.calls.get_mut(&oldest) {
+                if let CallState::Completed(outcome) =
+                    std::mem::replace(state, CallState::Forgotten)
+                {
+                    self.outcome_bytes -= outcome.bytes.len();
+                }
+            }
+        }
+        // The calls of outcomes that were retained for long enough are gone.
+        while let Some(oldest) = self.outcomes.front() {
+            if self.calls.contains_key(oldest) {
+                return;
+            }
+            self.outcomes.pop_front();
+        }
+    }
 }
--- a/src/mesh/executor/serve.rs
+++ b/src/mesh/executor/serve.rs
@@ -183,15 +183,15 @@
         if let CallOutcome::Refused(cause) = &outcome {
             task_state.executor.log_refusal(&request, *cause);
         }
-        complete_call(&task_state, id, &outcome);
+        complete_call(&task_state, id, outcome);
     });
     state.calls.borrow_mut().set_task(id, task.abort_handle());
 }
 
-fn complete_call(state: &MeshState, id: CallId, outcome: &CallOutcome) {
+fn complete_call(state: &MeshState, id: CallId, outcome: CallOutcome) {
     let call = id.1;
     let in_hand = state.executor.in_hand();
-    let frame = match outcome {
+    let frame = match &outcome {
         CallOutcome::Completed(response) => {
             let head = ResponseHead {
                 call,
@@ -215,8 +215,11 @@
         }
         CallOutcome::Unknown => encode_frame(&LinkFrame::Unknown { call, in_hand }, &[]),
     };
+    // The frame holds a copy of the body from here on.
+    drop(outcome);
     match frame {
         Ok(encoded) => {
+            let encoded = encoded.reserve(&state.body_budget);
             let mut calls = state.calls.borrow_mut();
             if let Some(link) = calls.complete(id, encoded.clone(), Instant::now()) {
                 link.send_encoded(&encoded);
@@ -228,17 +231,16 @@
 
 fn resume_call(state: &MeshState, id: CallId, sender: &LinkSender) {
     let mut calls = state.calls.borrow_mut();
-    let completed = match calls.resume(id, sender, Instant::now()) {
-        CallState::Running { .. } => return,
-        CallState::Completed(encoded) => Some(encoded.clone()),
-        CallState::Rejected => None,
-    };
-    drop(calls);
-    match completed {
-        Some(encoded) => {
-            sender.send_encoded(&encoded);
+    match calls.resume(id, sender, Instant::now()) {
+        CallState::Running { .. } => {}
+        CallState::Completed(encoded) => {
+            sender.send_encoded(encoded);
+        }
+        CallState::Forgotten => {
+            let (call, in_hand) = (id.1, state.executor.in_hand());
+            sender.send(&LinkFrame::Unknown { call, in_hand }, &[]);
         }
-        None => refuse(state, id.1, sender, RefusalCause::EndpointGone),
+        CallState::Rejected => refuse(state, id.1, sender, RefusalCause::EndpointGone),
     }
 }
 
--- a/src/mesh/link/frame.rs
+++ b/src/mesh/link/frame.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
+use super::super::body_budget::BodyBudget;
 use super::super::fleet::DaemonReport;
 use super::super::fleet::DaemonStatus;
 use super::header_codec::HeaderPairs;
@@ -159,6 +160,20 @@
     pub body_cause: TrafficCause,
 }
 
+impl EncodedFrame {
+    /// Counts a large frame in `budget` until its bytes are dropped, if the budget has room for it. One
+    /// that has none is sent all the same: the call has run.
+    pub fn reserve(self, budget: &BodyBudget) -> Self {
+        let mut reservation = budget.start();
+        // Without room the reservation stays empty, and the bytes are returned as they are.
+        reservation.grow_to(self.bytes.len());
+        Self {
+            bytes: reservation.attach(self.bytes),
+            ..self
+        }
+    }
+}
+
 impl LinkFrame<'_> {
     /// Returns the causes to which the bytes of the head and of the body are counted.
     fn traffic_causes(&self) -> (TrafficCause, TrafficCause) {
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -43,6 +43,9 @@
 use crate::observe::DaemonMetrics;
 use crate::observe::LogEvent;
 
+/// Part of the memory for bodies that retained outcomes may take.
+const OUTCOME_MEMORY_DIVISOR: usize = 4;
+
 /// Decodes a configuration in the platform's format.
 pub type ConfigDecoder = Box<dyn Fn(&[u8]) -> Result<MeshConfig, String>>;
 
@@ -106,6 +109,7 @@
         let mut rng = SmallRng::from_os_rng();
         let incarnation = rng.random();
         let body_budget = BodyBudget::from_limit(settings.body_memory_bytes);
+        let max_outcome_bytes = settings.body_memory_bytes / OUTCOME_MEMORY_DIVISOR;
         let executor = EndpointExecutor::new(
             header_names.clone(),
             settings.announce_interval,
@@ -117,7 +121,7 @@
             header_codec: Rc::new(HeaderCodec::from_names(&header_names)),
             header_names,
             executor,
-            calls: RefCell::new(CallTable::default()),
+            calls: RefCell::new(CallTable::from_limit(max_outcome_bytes)),
             admission: RefCell::new(EntryAdmission::default()),
             rng: RefCell::new(rng),
             metrics: DaemonMetrics::start(),
