Refuse keys without a proof on open routes too

Cause: find_organisation returned the owner of a key on an open route before it looked at the age of the proof.

Evidence: key_names_no_organisation_on_an_open_route_without_a_proof fails on the commit before: the request gets 200.

Result: it passes. The request gets 503 with Retry-After and reaches no endpoint; one without a key is served.

Why it works: whoever is found by a key is returned only while the configuration is proven to be the newest.

--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -161,9 +161,11 @@
     let key = headers::bearer_key(headers);
     let organisation = key.and_then(|key| routes.find_organisation(key));
     let has_organisations = !routes.config().organisations.is_empty();
-    if route.allows_anonymous || !has_organisations {
-        return Ok(organisation);
+    let needs_key = has_organisations && !route.allows_anonymous;
+    if !needs_key && organisation.is_none() {
+        return Ok(None);
     }
+    // The key may have been withdrawn. On an open route it still names its organisation.
     if state.proof_expired() {
         let retry_after = state.settings().proof_limits.keys / 4;
         return Err(refused_request(
@@ -173,9 +175,9 @@
         ));
     }
     match (key, organisation) {
+        (_, Some(rule)) => Ok(Some(rule)),
         (None, _) => Err(refused_request(ResultCode::KeyMissing, None, &route.name)),
         (Some(_), None) => Err(refused_request(ResultCode::KeyRefused, None, &route.name)),
-        (Some(_), found) => Ok(found),
     }
 }
 
