--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -9,11 +9,8 @@
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
 use hyper::HeaderMap;
-use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
-use hyper::Uri;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -23,6 +20,9 @@
 use super::super::header_names::HeaderNames;
 use super::super::link::CallOrigin;
 use super::super::link::RefusalCause;
+use super::call::CallOutcome;
+use super::call::CallRequest;
+use super::call::EndpointResponse;
 use super::classify::classify_response;
 use super::classify::ResponseClass;
 use super::limits::EndpointLimits;
@@ -58,42 +58,6 @@
 /// Maximum number of bytes of a body with the frames around its chunks.
 const MAX_BODY_READ_BYTES: usize = 4 * MAX_RESPONSE_BYTES;
 
-/// A call that an endpoint is to run.
-#[derive(Debug, Clone)]
-pub struct CallRequest {
-    pub method: Method,
-    pub target: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    pub service: Rc<str>,
-    pub idempotent: bool,
-    pub origin: CallOrigin,
-    pub deadline: BootTime,
-    /// Maximum time that the call waits for a slot.
-    pub queue_timeout: Duration,
-}
-
-/// Complete response of an endpoint.
-#[derive(Debug, Clone)]
-pub struct EndpointResponse {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// Slot time of the call and of the calls below it.
-    pub usage: TreeUsage,
-}
-
-/// Outcome of a call.
-#[derive(Debug, Clone)]
-pub enum CallOutcome {
-    /// The endpoint responded.
-    Completed(EndpointResponse),
-    /// The call has not run and never will.
-    Refused(RefusalCause),
-    /// The call may have reached the endpoint, and no complete response arrived.
-    Unknown,
-}
-
 /// Runs calls at the endpoint on the same VM and tracks its state.
 #[derive(Debug)]
 pub struct EndpointExecutor {
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Only the daemon beside an endpoint forwards calls to it, so it knows which calls may have run.
 
+mod call;
 mod calls;
 mod classify;
 mod endpoint;
@@ -13,15 +14,15 @@
 mod slots;
 mod status_check;
 
+pub use call::CallOutcome;
+pub use call::CallRequest;
+pub use call::EndpointResponse;
 pub use calls::CallState;
 pub use calls::CallTable;
 pub use calls::COMPLETED_CALL_RETENTION;
 pub use classify::classify_response;
 pub use classify::ResponseClass;
-pub use endpoint::CallOutcome;
-pub use endpoint::CallRequest;
 pub use endpoint::EndpointExecutor;
-pub use endpoint::EndpointResponse;
 pub use limits::EndpointLimits;
 pub use parents::ParentTable;
 pub use parents::TreeUsage;
--- a/src/mesh/executor/serve.rs
+++ b/src/mesh/executor/serve.rs
@@ -26,10 +26,10 @@
 use super::super::link::ResponseHead;
 use super::super::link::SubmitHead;
 use super::super::state::MeshState;
+use super::call::CallOutcome;
+use super::call::CallRequest;
 use super::calls::CallId;
 use super::calls::CallState;
-use super::endpoint::CallOutcome;
-use super::endpoint::CallRequest;
 
 /// Time without a frame after which a link is closed; peers ping more often than this.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/tests/mesh/route_table.rs
+++ b/tests/mesh/route_table.rs
@@ -38,18 +38,12 @@
     }
 }
 
-fn table() -> RouteTable {
-    let routes = vec![
-        route("short", "one.example", "/a/", &[1]),
-        route("long", "one.example", "/a/b/", &[1]),
-        route("other", "two.example", "/a/", &[1]),
-        route("root", "three.example", "/", &[1]),
-    ];
+fn table_from(routes: Vec<RouteRule>, organisations: Vec<OrganisationRule>) -> RouteTable {
     RouteTable::from_config(MeshConfig {
         warnings: Vec::new(),
         version: 1,
         routes,
-        organisations: Vec::new(),
+        organisations,
         status_paths: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
@@ -59,6 +53,16 @@
     })
 }
 
+fn table() -> RouteTable {
+    let routes = vec![
+        route("short", "one.example", "/a/", &[1]),
+        route("long", "one.example", "/a/b/", &[1]),
+        route("other", "two.example", "/a/", &[1]),
+        route("root", "three.example", "/", &[1]),
+    ];
+    table_from(routes, Vec::new())
+}
+
 #[rstest]
 #[case("one.example", "/a/x", Some("short"))]
 #[case("one.example", "/a/b/x/y", Some("long"))]
@@ -107,18 +111,7 @@
         rank: *rank,
         quota: None,
     });
-    RouteTable::from_config(MeshConfig {
-        warnings: Vec::new(),
-        version: 1,
-        routes: routes.collect(),
-        organisations: organisations.collect(),
-        status_paths: HashMap::new(),
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 1024,
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
+    table_from(routes.collect(), organisations.collect())
 }
 
 /// Guards against ranks of 16 and more that are served as if they were equal.
