Charge an organisation only for requests that its class admitted

Cause: admit took the organisation's token before the class share decided, and no path gave it back for a request that was refused as not run.

The class decides first, then the part of a full class that the quota entitles the organisation to, then the token. A token returns when the final outcome says that the request has not run, unless an earlier attempt may have run. A reported count never goes backwards: the next admission covers it. A request that the quota refuses is taken off the demand of its class.

--- a/src/decisions/quota/share.rs
+++ b/src/decisions/quota/share.rs
@@ -7,6 +7,10 @@
 
 use std::time::Duration;
 
+use super::class_part::ClassPart;
+use super::class_part::EXPECTED_TRIES;
+use super::returned::ReturnedTokens;
+
 /// Bucket level, as a share of the burst, below which a daemon is limited to its share of the rate.
 const FREE_ADMISSION_LEVEL: f64 = 0.1;
 /// Assumed age of reports before the first are received.
@@ -103,6 +107,12 @@
     report_age: Duration,
     arrivals: f64,
     admitted: u64,
+    /// Admissions that were reported.
+    reported: u64,
+    returned: ReturnedTokens,
+    /// Demand in requests a second up to which tokens are returned.
+    max_refunded_demand: f64,
+    class_part: ClassPart,
     updated: Duration,
 }
 
@@ -128,6 +138,10 @@
             report_age: INITIAL_REPORT_AGE,
             arrivals: 0.0,
             admitted: 0,
+            reported: 0,
+            returned: ReturnedTokens::default(),
+            max_refunded_demand: 0.0,
+            class_part: ClassPart::default(),
             updated: Duration::ZERO,
         }
     }
@@ -145,12 +159,13 @@
         self.daemons = daemons.max(1);
     }
 
-    /// Returns the number of requests admitted since the daemon's start, for its report.
+    /// Returns the number of requests admitted since the daemon's start, for its report. A reported
+    /// number never goes backwards.
     pub fn admitted(&self) -> u64 {
         self.admitted
     }
 
-    /// Returns the requests a second that arrive at this daemon, for its report.
+    /// Returns the requests a second that ask for a token at this daemon, for its report.
     pub fn demand(&self) -> f64 {
         self.own_demand
     }
@@ -180,17 +195,58 @@
         }
         self.fleet_level -= 1.0;
         self.own_level = (self.own_level - 1.0).max(0.0);
-        self.admitted += 1;
+        if !self.returned.take() {
+            self.admitted += 1;
+        }
+        true
+    }
+
+    /// Returns the token of a request that was admitted, has not run and never will. Returns false
+    /// if the organisation asks for so much that its refused requests use up tokens too.
+    pub fn refund(&mut self) -> bool {
+        // Tokens that came back without a limit would add up with those that are handed out
+        // meanwhile, and the requests of both may run at the same moment.
+        if self.total_demand() > self.max_refunded_demand {
+            return false;
+        }
+        if self.admitted > self.reported {
+            self.admitted -= 1;
+        } else {
+            self.returned.add();
+        }
+        // The next refill limits the levels.
+        self.fleet_level += 1.0;
+        self.own_level += 1.0;
+        self.unreported_level += 1.0;
         true
     }
 
+    /// Returns true if a request that a class with this share admitted exceeds the part of the
+    /// class that the organisation is entitled to.
+    pub fn exceeds_class_part(
+        &mut self,
+        rule: &QuotaRule,
+        tolerance: &QuotaTolerance,
+        class_share: f64,
+    ) -> bool {
+        let exceeds = self.class_part.exceeds(rule, tolerance, class_share);
+        if exceeds {
+            self.arrivals += 1.0;
+        }
+        exceeds
+    }
+
     /// Applies the reports of the other daemons, `elapsed` after the previous update.
     pub fn apply_reports(&mut self, peers: PeerDemand, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(0.01);
         let weight = (seconds / DEMAND_SMOOTHING.as_secs_f64()).min(1.0);
         self.own_demand += weight * (self.arrivals / seconds - self.own_demand);
-        self.arrivals = 0.0;
         self.set_peer_demand(peers.rate, peers.report_age);
+        let total_demand = self.total_demand();
+        let arrivals = std::mem::take(&mut self.arrivals);
+        self.class_part.update(arrivals, total_demand, elapsed);
+        self.reported = self.admitted;
+        self.returned.advance(elapsed);
         // The share is averaged over a long time, because local demand is known before that of the
         // others and a surge at all daemons at first looks like a local one.
         let weight = (seconds / SHARE_SMOOTHING.as_secs_f64()).min(1.0);
@@ -215,6 +271,7 @@
     fn refill(&mut self, rule: &QuotaRule, now: Duration) {
         let seconds = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = now;
+        self.max_refunded_demand = rule.rate * f64::from(EXPECTED_TRIES);
         self.fleet_level = (self.fleet_level + rule.rate * seconds)
             .clamp(-MAX_DEBT_BURSTS * rule.burst, rule.burst);
         let rate_factor = (1.0 + self.fleet_level / rule.burst).clamp(MIN_RATE_FACTOR, 1.0);
@@ -258,8 +315,8 @@
         self.peer_demand.is_some() || self.daemons == 1
     }
 
-    /// Returns the requests a second that are known to arrive at all daemons.
-    fn total_demand(&self) -> f64 {
+    /// Returns the requests a second that are known to ask for a token at all daemons.
+    pub fn total_demand(&self) -> f64 {
         self.own_demand + self.peer_demand.unwrap_or(0.0)
     }
 
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -32,6 +32,7 @@
         self.render_daemon_state(&mut text);
         self.render_services(&mut text);
         self.render_link_traffic(&mut text);
+        self.render_charges(&mut text);
         for (class, share) in self.admission.borrow().shares() {
             let (route, rank) = (class.route, class.rank);
             let labels = format!("{{route=\"{route}\",rank=\"{rank}\"}}");
@@ -88,6 +89,25 @@
         causes.collect::<Vec<_>>().join(" ")
     }
 
+    fn render_charges(&self, text: &mut String) {
+        let counts = self.admission.borrow().charge_counts();
+        let samples = [
+            ("quota_tokens_taken_total", counts.taken),
+            ("quota_tokens_returned_total", counts.returned),
+            (
+                "quota_refused_within_rate_total",
+                counts.refused_within_rate,
+            ),
+            (
+                "quota_refused_in_full_class_total",
+                counts.refused_in_full_class,
+            ),
+        ];
+        for (name, count) in samples {
+            write_sample(text, name, "", count as f64);
+        }
+    }
+
     fn render_link_traffic(&self, text: &mut String) {
         for cause in TrafficCause::ALL {
             let (own_domain, other_domains) = self.link_traffic.sent(cause);
--- a/src/mesh/entry/admission.rs
+++ b/src/mesh/entry/admission.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use super::super::fleet::hash_name;
+use super::charge_counts::ChargeCounts;
+use super::class_state::ClassState;
 use crate::decisions::demand::ClassRate;
 use crate::decisions::demand::DemandReport;
 use crate::decisions::demand::OrganisationDemand;
@@ -22,9 +24,6 @@
 use crate::decisions::root_admission::TreeCosts;
 use crate::observe::LogEvent;
 
-/// Weight of the newest sample in the smoothed rates, one sample per allocation. The memory of
-/// about a second follows a burst closely enough.
-const RATE_SMOOTHING: f64 = 0.25;
 /// Utilisation of a service's slots that is allocated; service times grow near full utilisation.
 const TARGET_UTILISATION: f64 = 0.93;
 /// Reports carry the rate of a class as a whole number of requests in this many seconds.
@@ -37,29 +36,6 @@
 /// Number of allocations per logged one.
 const ALLOCATIONS_PER_LOG_LINE: u32 = 4;
 
-#[derive(Debug)]
-struct ClassState {
-    /// Requests that arrived since the last allocation.
-    offered: u32,
-    /// Smoothed arrivals per second.
-    offered_rate: f64,
-    /// Share of the requests that are admitted.
-    share: f64,
-    /// Accumulated shares; a request is admitted for each whole one.
-    credit: f64,
-}
-
-impl Default for ClassState {
-    fn default() -> Self {
-        Self {
-            offered: 0,
-            offered_rate: 0.0,
-            share: 1.0,
-            credit: 0.5,
-        }
-    }
-}
-
 /// Admission state of one entry.
 #[derive(Debug, Default)]
 pub struct EntryAdmission {
@@ -72,6 +48,7 @@
     corrections: HashMap<u32, CapacityCorrection>,
     planned_capacities: HashMap<u32, f64>,
     retry_budgets: HashMap<u32, RetryWindow>,
+    charges: ChargeCounts,
     /// Number of allocations since the start.
     allocations: u32,
 }
@@ -80,20 +57,18 @@
     /// Counts a request of a class and returns true if it is admitted. Over time, the class's share
     /// of its requests is admitted.
     pub fn admit_class(&mut self, class: ClassKey) -> bool {
-        let state = self.classes.entry(class).or_default();
-        state.offered += 1;
-        state.credit = (state.credit + state.share).min(2.0);
-        if state.credit < 1.0 {
-            return false;
-        }
-        state.credit -= 1.0;
-        true
+        self.classes.entry(class).or_default().admit()
+    }
+
+    /// Takes back a request that its class admitted and its organisation's quota refused.
+    pub fn return_class(&mut self, class: ClassKey) {
+        self.classes.entry(class).or_default().return_admission();
     }
 
     /// Returns the admitted share of each class, for metrics.
     pub fn shares(&self) -> impl Iterator<Item = (ClassKey, f64)> + '_ {
         let classes = self.classes.iter();
-        classes.map(|(class, state)| (*class, state.share))
+        classes.map(|(class, state)| (*class, state.share()))
     }
 
     /// Returns the capacity of a service that was last allocated, in slot-seconds per second, for
@@ -104,7 +79,7 @@
 
     /// Returns the admitted share of a class, for log lines.
     pub fn class_share(&self, class: ClassKey) -> f64 {
-        self.classes.get(&class).map_or(1.0, |state| state.share)
+        self.classes.get(&class).map_or(1.0, ClassState::share)
     }
 
     /// Charges one request to an organisation's quota, which `daemons` daemons share, and returns
@@ -118,16 +93,53 @@
         sample: f64,
         now: Duration,
     ) -> bool {
-        let name_hash = hash_name(name);
-        let share = self.quotas.entry(name_hash).or_insert_with(|| {
+        let share = self.quota_share(hash_name(name), sample);
+        share.set_daemons(daemons);
+        let admitted = share.admit(rule, tolerance, now);
+        let within_rate = share.total_demand() <= rule.rate;
+        self.charges.taken += u64::from(admitted);
+        self.charges.refused_within_rate += u64::from(!admitted && within_rate);
+        admitted
+    }
+
+    /// Returns true if a request that its class admitted exceeds the part of the class that its
+    /// organisation's quota entitles it to. `sample` is uniformly distributed from 0 to 1.
+    pub fn exceeds_class_part(
+        &mut self,
+        name: &str,
+        rule: &QuotaRule,
+        tolerance: &QuotaTolerance,
+        class: ClassKey,
+        sample: f64,
+    ) -> bool {
+        let class_share = self.class_share(class);
+        let share = self.quota_share(hash_name(name), sample);
+        let exceeds = share.exceeds_class_part(rule, tolerance, class_share);
+        self.charges.refused_in_full_class += u64::from(exceeds);
+        exceeds
+    }
+
+    /// Returns the token of a request that has not run and never will.
+    pub fn refund_organisation(&mut self, name: &str) {
+        // An organisation without a share here has not been charged.
+        if let Some(share) = self.quotas.get_mut(&hash_name(name)) {
+            self.charges.returned += u64::from(share.refund());
+        }
+    }
+
+    /// Returns the counts of tokens, for metrics.
+    pub fn charge_counts(&self) -> ChargeCounts {
+        self.charges
+    }
+
+    fn quota_share(&mut self, name_hash: u32, sample: f64) -> &mut QuotaShare {
+        self.quotas.entry(name_hash).or_insert_with(|| {
             let mut share = QuotaShare::start(sample);
             if let Some(others) = &self.others_demand {
                 share.set_peer_demand(Some(others.rate(name_hash)), others.delay);
             }
             share
-        });
-        share.set_daemons(daemons);
-        share.admit(rule, tolerance, now)
+        })
     }
 
     /// Returns the levels of an organisation's token bucket and of this daemon's part of it, for
@@ -136,6 +148,12 @@
         Some(self.quotas.get(&hash_name(name))?.levels())
     }
 
+    /// Returns the requests a second that all daemons ask of an organisation's quota, for log
+    /// lines.
+    pub fn quota_demand(&self, name: &str) -> Option<f64> {
+        Some(self.quotas.get(&hash_name(name))?.total_demand())
+    }
+
     /// Returns the retry budget of a service.
     pub fn retry_budget(&mut self, service: &str) -> &mut RetryWindow {
         self.retry_budgets.entry(hash_name(service)).or_default()
@@ -168,9 +186,7 @@
     pub fn update_offered_rates(&mut self, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(0.01);
         for state in self.classes.values_mut() {
-            let rate = f64::from(state.offered) / seconds;
-            state.offered_rate += RATE_SMOOTHING * (rate - state.offered_rate);
-            state.offered = 0;
+            state.update_rate(seconds);
         }
     }
 
@@ -233,7 +249,7 @@
         self.log_allocation(&services, &fleet, &capacities, &demands, &shares);
         for (demand, share) in demands.iter().zip(shares) {
             if let Some(state) = self.classes.get_mut(&demand.key) {
-                state.share = share;
+                state.set_share(share);
             }
         }
     }
@@ -287,11 +303,11 @@
         let active = self
             .classes
             .iter()
-            .filter(|(_, state)| state.offered_rate > MIN_REPORTED_RATE);
+            .filter(|(_, state)| state.offered_rate() > MIN_REPORTED_RATE);
         active
             .map(|(class, state)| ClassRate {
                 class: *class,
-                requests_per_100s: (state.offered_rate * CLASS_RATE_SECONDS) as u32,
+                requests_per_100s: (state.offered_rate() * CLASS_RATE_SECONDS) as u32,
                 costs: self
                     .costs
                     .route_costs(class.route)
--- a/src/mesh/entry/admit.rs
+++ b/src/mesh/entry/admit.rs
@@ -38,6 +38,8 @@
     pub service: Rc<str>,
     pub idempotent: bool,
     pub organisation: Option<String>,
+    /// True if the request took a token of its organisation.
+    pub charged: bool,
     pub route: String,
     pub origin: CallOrigin,
     /// Identifier of the request at the endpoint on this VM that made this call.
@@ -61,6 +63,8 @@
     /// Levels of the organisation's token bucket and of this daemon's part of it, if the quota
     /// refused the request.
     pub quota_levels: Option<(f64, f64)>,
+    /// Requests a second that all daemons ask of the quota, and its rate, if it refused the request.
+    pub quota_demand: Option<(f64, f64)>,
     pub route: String,
     pub organisation: String,
 }
@@ -99,26 +103,33 @@
             retry_after: Some(retry_after),
             share,
             quota_levels,
+            quota_demand: over_rate.and_then(|rule| quota_demand(state, rule)),
             route: route.name.clone(),
             organisation: organisation.map_or(String::new(), |rule| rule.name.clone()),
         }))
     };
-    if let Some(rule) = organisation.filter(|_| !origin.nested) {
-        if !within_quota(state, rule) {
-            return refuse(ResultCode::OverRate, 1.0);
-        }
+    // A nested call belongs to a request that was charged where it entered.
+    let charged_rule = organisation.filter(|rule| !origin.nested && rule.quota.is_some());
+    // The class decides first, so that a request that it refuses takes no token.
+    if !origin.nested && !state.admission.borrow_mut().admit_class(origin.class) {
+        let share = state.admission.borrow().class_share(origin.class);
+        return refuse(ResultCode::RefusedEarly, share);
     }
-    if !origin.nested {
-        let mut admission = state.admission.borrow_mut();
-        if !admission.admit_class(origin.class) {
-            return refuse(
-                ResultCode::RefusedEarly,
-                admission.class_share(origin.class),
-            );
+    if let Some(rule) = charged_rule {
+        if !within_quota(state, rule, origin.class) {
+            let mut admission = state.admission.borrow_mut();
+            admission.return_class(origin.class);
+            let share = admission.class_share(origin.class);
+            drop(admission);
+            return refuse(ResultCode::OverRate, share);
         }
     }
     let weighted = route.pick_service(&mut *state.rng.borrow_mut());
     let Some(weighted) = weighted else {
+        if let Some(rule) = charged_rule {
+            let mut admission = state.admission.borrow_mut();
+            admission.refund_organisation(&rule.name);
+        }
         return refuse(ResultCode::NoEndpoint, 1.0);
     };
     let queue_timeout = if origin.nested {
@@ -130,6 +141,7 @@
         service: weighted.service.clone(),
         idempotent: route.idempotent,
         organisation: organisation.map(|rule| rule.name.clone()),
+        charged: charged_rule.is_some(),
         route: route.name.clone(),
         origin,
         parent,
@@ -141,7 +153,8 @@
     })
 }
 
-fn within_quota(state: &MeshState, rule: &OrganisationRule) -> bool {
+/// Charges a request that its class admitted and returns true if the quota had room for it.
+fn within_quota(state: &MeshState, rule: &OrganisationRule, class: ClassKey) -> bool {
     let Some(quota) = &rule.quota else {
         return true;
     };
@@ -149,7 +162,14 @@
     let daemons = state.fleet_size();
     let sample = state.rng.borrow_mut().random_range(0.0..1.0);
     let mut admission = state.admission.borrow_mut();
-    admission.admit_organisation(&rule.name, quota, &tolerance, daemons, sample, state.now())
+    !admission.exceeds_class_part(&rule.name, quota, &tolerance, class, sample)
+        && admission.admit_organisation(&rule.name, quota, &tolerance, daemons, sample, state.now())
+}
+
+/// Returns the requests a second that all daemons ask of a quota, and its rate, for log lines.
+fn quota_demand(state: &MeshState, rule: &OrganisationRule) -> Option<(f64, f64)> {
+    let demand = state.admission.borrow().quota_demand(&rule.name)?;
+    Some((demand, rule.quota?.rate))
 }
 
 fn find_organisation<'a>(
@@ -245,6 +265,7 @@
         retry_after,
         share: 1.0,
         quota_levels: None,
+        quota_demand: None,
         route: route.to_owned(),
         organisation: String::new(),
     })
--- a/src/mesh/entry/mod.rs
+++ b/src/mesh/entry/mod.rs
@@ -3,9 +3,12 @@
 
 mod admission;
 mod admit;
+mod charge_counts;
+mod class_state;
 mod dispatch;
 mod headers;
 mod serve;
 
 pub use admission::EntryAdmission;
+pub use charge_counts::ChargeCounts;
 pub use serve::serve_callers;
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -35,6 +35,7 @@
 use super::dispatch::DispatchOutcome;
 use super::headers;
 use crate::clock::BootTime;
+use crate::codes::ResultClass;
 use crate::codes::ResultCode;
 use crate::observe::LogEvent;
 
@@ -243,6 +244,10 @@
             response
         }
         Err(code) => {
+            // A code of the last attempt says nothing of an earlier one whose outcome is unknown.
+            if !call.origin.possible_duplicate {
+                refund(state, admitted, code);
+            }
             let remaining = state.clock.remaining(admitted.deadline);
             let retry_after = retry_after(state, admitted.latency_target, remaining);
             daemon_response(code, Some(retry_after))
@@ -250,6 +255,18 @@
     }
 }
 
+/// Returns the token of a request whose final outcome says that it has not run.
+fn refund(state: &MeshState, admitted: &AdmittedRequest, code: ResultCode) {
+    let organisation = admitted.organisation.as_deref();
+    let organisation = organisation.filter(|_| admitted.charged);
+    if code.class() != ResultClass::NotRun {
+        return;
+    }
+    if let Some(name) = organisation {
+        state.admission.borrow_mut().refund_organisation(name);
+    }
+}
+
 /// Returns the time for which a request waits until an executor of its service is known.
 fn first_executor_timeout(state: &MeshState, admitted: &AdmittedRequest) -> Duration {
     if state.now() < STARTUP_PERIOD {
@@ -355,9 +372,11 @@
         route,
         organisation,
         quota_levels,
+        quota_demand,
         ..
     } = refused;
     let (bucket_level, own_level) = quota_levels.unzip();
+    let (demand, rate) = quota_demand.unzip();
     tracing::warn!(
         event,
         id,
@@ -367,6 +386,8 @@
         share,
         bucket_level,
         own_level,
+        demand,
+        rate,
         config,
         proof_ms,
         "request refused"
@@ -398,6 +419,8 @@
         held_bytes,
         "request refused: cannot read its body"
     );
+    // A request whose body wasn't read has been sent to no endpoint.
+    refund(state, admitted, code);
     let remaining = state.clock.remaining(admitted.deadline);
     let retry_after = retry_after(state, admitted.latency_target, remaining);
     daemon_response(code, Some(retry_after))
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod announcement;
 mod bodies;
 mod calls;
+mod charges;
 mod classify;
 mod config_fetch;
 mod demand;
