Evacuate a failure domain at an operator's request

The operator's topic holds a record for each failure domain to empty. Nothing read it, so requests went on to its endpoints for the whole evacuation.

Daemons now keep the set of evacuated domains with the position in the topic up to which they know it; a set with a higher position replaces one with a lower, from the store or from a peer. The executor of an evacuated domain refuses as not run, entries leave its endpoints out of their index, and demand carries none of its slots.

--- a/src/codes/result.rs
+++ b/src/codes/result.rs
@@ -93,6 +93,7 @@
     BadDeadline = 228, 400, "The deadline header must be one whole number of milliseconds.";
     RateUnknown = 230, 503, "No home of the organisation's rate can be reached.";
     NoMemory = 231, 503, "The daemon has no memory for the body now.";
+    Evacuated = 235, 503, "No endpoint of the service is known outside the evacuated failure domains.";
     NeverSeen = 229, 404, "The owner has not seen the request.";
     ConnectionLost = 301, 502, "The connection was lost after the request was handed over.";
     DeadlinePassed = 302, 504, "The deadline passed while the request may have been running.";
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -10,6 +10,7 @@
 #[cfg(feature = "product")]
 pub mod configuration;
 pub mod demand;
+pub mod evacuation;
 #[cfg(feature = "product")]
 pub mod keys;
 #[cfg(feature = "product")]
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -50,6 +50,8 @@
         let demand_age = demand_age.map_or(-1.0, |age| age.as_secs_f64());
         let is_relay = self.relay_time().is_some();
         let executor = &self.executor;
+        let evacuations = self.evacuations();
+        let evacuated = self.is_evacuated(&self.settings().failure_domain);
         let waiting = executor.in_hand().saturating_sub(executor.running());
         let samples = [
             ("config_version", self.config_version() as f64),
@@ -59,6 +61,13 @@
             ("endpoint_rate", executor.rate().unwrap_or(-1.0)),
             ("endpoint_running", f64::from(executor.running())),
             ("endpoint_waiting", f64::from(waiting)),
+            ("endpoint_evacuated", f64::from(u8::from(evacuated))),
+            ("evacuated_domains", evacuations.domains().len() as f64),
+            ("evacuation_position", evacuations.position() as f64),
+            (
+                "evacuation_refusals_total",
+                executor.evacuation_refusals() as f64,
+            ),
             ("open_requests", f64::from(self.open_requests())),
             (
                 "suspended_seconds_total",
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -170,7 +170,7 @@
         let (frame, body_offset) = decode_frame(bytes)?;
         match frame {
             LinkFrame::Pong { sequence, status } => {
-                self.handle_status(peer, sequence, status);
+                self.handle_status(peer, sequence, &status);
                 self.follow_version(peer, sender, status.config_version);
             }
             LinkFrame::Report(report) => {
@@ -223,8 +223,9 @@
         Ok(())
     }
 
-    fn handle_status(&mut self, peer: &Peer, sequence: u32, status: DaemonStatus) {
+    fn handle_status(&mut self, peer: &Peer, sequence: u32, status: &DaemonStatus) {
         peer.handle_status(status);
+        self.state.apply_evacuations(&status.evacuations, "peer");
         if sequence != self.sequence {
             return;
         }
@@ -238,6 +239,8 @@
     }
 
     fn handle_report(&mut self, peer: &Peer, report: DaemonReport) {
+        // A configuration that the peer reports is put in force only after its evacuations.
+        self.state.apply_evacuations(&report.evacuations, "peer");
         if peer.handle_report(report) {
             self.state.rebuild_service_index();
         }
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -74,7 +74,7 @@
     tried: &mut SmallVec<[SocketAddrV4; 4]>,
 ) -> Result<EndpointResponse, ResultCode> {
     let mut arrivals = 0;
-    let mut code = ResultCode::NoEndpoint;
+    let mut code = state.missing_executor_code();
     while tried.len() < MAX_EXECUTORS {
         let chosen = match choose_executor(state, &request.service, tried) {
             None if tried.is_empty() => {
@@ -158,6 +158,7 @@
         RefusalCause::Stopping => ResultCode::Stopping,
         RefusalCause::EndpointShed => ResultCode::EndpointShed,
         RefusalCause::NoMemory => ResultCode::NoMemory,
+        RefusalCause::Evacuated => ResultCode::Evacuated,
     }
 }
 
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -25,6 +25,7 @@
 use super::call::EndpointResponse;
 use super::classify::classify_response;
 use super::classify::ResponseClass;
+use super::evacuation::EvacuationGate;
 use super::limits::EndpointLimits;
 use super::parents::merge_usage;
 use super::parents::ParentGuard;
@@ -68,7 +69,8 @@
     tracker: RefCell<EndpointTracker>,
     /// Notified after each announcement.
     pub announced: Notify,
-    slots: Rc<SlotQueue>,
+    pub(super) slots: Rc<SlotQueue>,
+    pub(super) evacuation: EvacuationGate,
     pool: ConnectionPool,
     parents: RefCell<ParentTable>,
     stopping: Cell<bool>,
@@ -91,6 +93,7 @@
             tracker: RefCell::new(EndpointTracker::from_start(wall_ms())),
             announced: Notify::new(),
             slots: SlotQueue::new(),
+            evacuation: EvacuationGate::default(),
             pool: ConnectionPool::default(),
             parents: RefCell::new(ParentTable::default()),
             stopping: Cell::new(false),
@@ -155,6 +158,9 @@
     /// Returns the announcement of an endpoint that may get new calls, and the time for which it is
     /// still cold.
     pub fn usable_endpoint(&self) -> Option<(EndpointAnnouncement, Duration)> {
+        if self.evacuation.is_evacuated() {
+            return None;
+        }
         let tracker = self.tracker.borrow();
         let announcement = tracker.available(self.announce_interval.get(), self.now())?;
         Some((announcement.clone(), tracker.cold_remaining(self.now())))
@@ -201,7 +207,7 @@
             return CallOutcome::Refused(RefusalCause::Stopping);
         }
         if self.usable_endpoint_for(&call.service).is_none() {
-            return CallOutcome::Refused(RefusalCause::EndpointGone);
+            return CallOutcome::Refused(self.refusal_cause(&call.service));
         }
         let queue_timeout = call.queue_timeout.min(self.clock.remaining(call.deadline));
         let acquisition = self.slots.acquire(call.origin.class.rank, queue_timeout);
@@ -399,6 +405,9 @@
     }
 
     fn usable_endpoint_for(&self, service: &str) -> Option<EndpointAnnouncement> {
+        if self.evacuation.is_evacuated() {
+            return None;
+        }
         let tracker = self.tracker.borrow();
         let announcement = tracker.available(self.announce_interval.get(), self.now())?;
         (announcement.service == service).then(|| announcement.clone())
@@ -407,6 +416,9 @@
     fn refusal_cause(&self, service: &str) -> RefusalCause {
         if self.stopping.get() {
             RefusalCause::Stopping
+        } else if self.evacuation.is_evacuated() {
+            self.evacuation.record_refusal();
+            RefusalCause::Evacuated
         } else if self.usable_endpoint_for(service).is_none() {
             RefusalCause::EndpointGone
         } else {
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod classify;
 mod endpoint;
+mod evacuation;
 mod limited_stream;
 mod limits;
 mod parents;
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -181,7 +181,7 @@
     }
 
     /// Records a reply to a ping.
-    pub fn handle_status(&self, status: DaemonStatus) {
+    pub fn handle_status(&self, status: &DaemonStatus) {
         self.record_load(status.in_hand);
         self.reported_at.set(Some(Instant::now()));
     }
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decisions::evacuation::EvacuationSet;
+
 /// A daemon's state; see `docs/design/platform.md`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DaemonReport {
@@ -13,6 +15,8 @@
     pub reads_store: bool,
     /// The endpoint on the daemon's VM, while it accepts new calls.
     pub endpoint: Option<EndpointReport>,
+    /// Evacuated failure domains that the daemon knows of.
+    pub evacuations: EvacuationSet,
 }
 
 /// State of an endpoint that accepts new calls.
@@ -26,7 +30,7 @@
 
 impl DaemonReport {
     /// Returns true if the other daemons must be told of the difference to `old` at once. Versions
-    /// of the configuration also reach them with the replies to their pings.
+    /// of the configuration and evacuations also reach them with the replies to their pings.
     pub fn differs_from(&self, old: &Self) -> bool {
         self.stopping != old.stopping
             || self.reads_store != old.reads_store
@@ -35,11 +39,13 @@
 }
 
 /// State of a daemon that changes all the time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonStatus {
     pub config_version: u64,
     /// Age of the proof that the daemon's configuration is the newest, or none if there is no proof.
     pub proof_age_ms: Option<u32>,
     /// Number of calls that run or wait at the endpoint.
     pub in_hand: u32,
+    /// Evacuated failure domains that the daemon knows of.
+    pub evacuations: EvacuationSet,
 }
--- a/src/mesh/link/frame.rs
+++ b/src/mesh/link/frame.rs
@@ -36,6 +36,8 @@
     EndpointReplaced,
     /// The daemon has no memory for the call's body.
     NoMemory,
+    /// The endpoint's failure domain is evacuated.
+    Evacuated,
 }
 
 impl RefusalCause {
--- a/src/mesh/state/fleet.rs
+++ b/src/mesh/state/fleet.rs
@@ -83,7 +83,8 @@
         admission.spend_retry(service, &rule, daemons, self.now())
     }
 
-    /// Runs `read` on the peers whose endpoints serve a service and accept new calls.
+    /// Runs `read` on the peers whose endpoints serve a service and accept new calls, outside the
+    /// evacuated failure domains.
     pub fn with_executors<T>(&self, service: &str, read: impl FnOnce(&[Rc<Peer>]) -> T) -> T {
         let index = self.by_service.borrow();
         read(index.get(service).map_or(&[], |peers| peers.as_slice()))
@@ -93,6 +94,9 @@
     pub fn rebuild_service_index(&self) {
         let mut index: HashMap<String, Vec<Rc<Peer>>> = HashMap::new();
         for peer in self.peers.borrow().values() {
+            if self.is_evacuated(&peer.failure_domain()) {
+                continue;
+            }
             let service = peer.with_report(|report| {
                 let endpoint = report.endpoint.as_ref().filter(|_| !report.stopping);
                 endpoint.map(|endpoint| endpoint.service.clone())
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -1,6 +1,7 @@
 //! State that all tasks of one daemon share; they run on one thread.
 
 mod configuration;
+mod evacuation;
 mod fleet;
 
 use std::cell::Cell;
@@ -40,6 +41,7 @@
 use crate::decisions::demand::DemandView;
 use crate::decisions::demand::RelayTable;
 use crate::decisions::demand::ServiceLoad;
+use crate::decisions::evacuation::EvacuationSet;
 use crate::observe::DaemonMetrics;
 use crate::observe::LogEvent;
 
@@ -73,6 +75,8 @@
     proven_at: Cell<Option<Duration>>,
     /// Time since boot from which the store's newest configuration is one that cannot be decoded.
     unreadable_since: Cell<Option<Duration>>,
+    /// Evacuated failure domains.
+    evacuations: RefCell<EvacuationSet>,
     reads_store: Cell<bool>,
     config_requested_at: Cell<Option<Instant>>,
     peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
@@ -136,6 +140,7 @@
             raw_config: RefCell::new(Bytes::new()),
             proven_at: Cell::new(None),
             unreadable_since: Cell::new(None),
+            evacuations: RefCell::new(EvacuationSet::default()),
             reads_store: Cell::new(false),
             config_requested_at: Cell::new(None),
             peers: RefCell::new(HashMap::new()),
@@ -215,6 +220,7 @@
             config_version: self.config_version(),
             reads_store: self.reads_store.get(),
             endpoint: self.endpoint_report(),
+            evacuations: self.evacuations(),
         }
     }
 
@@ -224,6 +230,7 @@
             config_version: self.config_version(),
             proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32),
             in_hand: self.executor.in_hand(),
+            evacuations: self.evacuations(),
         }
     }
 
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -36,6 +36,8 @@
     EndpointLimited = 1103, "The endpoint on this VM named or withdrew a limit of requests per second.";
     EndpointLeaving = 1104, "The endpoint on this VM said in a response that it leaves.";
     EndpointChecked = 1105, "The endpoint on this VM, which is older than the daemon, was asked whether it leaves.";
+    EvacuationBegan = 1110, "A failure domain is evacuated: this daemon sends nothing to the endpoints there.";
+    EvacuationEnded = 1111, "The evacuation of a failure domain was taken back.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod dedup;
 mod documents;
+mod evacuation;
 mod keys;
 mod membership;
 mod ownership;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod classify;
 mod config_fetch;
 mod demand;
+mod evacuation;
 mod fleet_size;
 mod fuzzing;
 mod header_codec;
