--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod classify;
 mod config_fetch;
 mod demand;
+mod evacuation;
 mod fleet_size;
 mod fuzzing;
 mod header_codec;
