Hold cold endpoints at the rate that their service names

Change: the daemon beside an endpoint tells from announcements, status checks and what makes them doubtful whether it is cold, and paces it with the bucket that serves an endpoint's own limit; the lower rate is in force. Reports carry the slots that the rate keeps busy, and entries choose a cold endpoint only for its part of the calls.

--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -241,6 +241,7 @@
         routes: vec![route],
         organisations: Vec::new(),
         status_paths: HashMap::new(),
+        cold_limits: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,6 +7,7 @@
 #[cfg(feature = "product")]
 pub mod admission;
 pub mod announcement;
+pub mod cold;
 #[cfg(feature = "product")]
 pub mod configuration;
 pub mod demand;
--- a/src/decisions/pacing/mod.rs
+++ b/src/decisions/pacing/mod.rs
@@ -1,52 +1,68 @@
-//! Paces the requests to an endpoint that names how many it takes a second.
+//! Paces the requests to an endpoint that takes a limited number of them a second: one that names a limit
+//! in its responses, or a cold one.
 //!
 //! All requests for an endpoint pass through the daemon beside it, so that daemon's bucket of tokens
-//! holds for the whole fleet. See `docs/design/placement.md`.
+//! holds for the whole fleet. See `docs/design/placement.md` and
+//! `docs/design/cold-endpoints.md`.
 
 use std::time::Duration;
 
 /// Time whose tokens may accumulate; it evens out gaps between arrivals.
-const BURST_TIME: Duration = Duration::from_millis(100);
+pub const BURST_TIME: Duration = Duration::from_millis(100);
 /// Lowest rate in requests per second. An endpoint withdraws its limit in a response, so some
 /// requests must reach it.
 const MIN_RATE: f64 = 0.5;
 /// Highest rate in requests per second that counts as a limit.
 const MAX_RATE: f64 = 1e6;
 
-/// Bucket of tokens, one for each request, that fills at the rate the endpoint named.
+/// Reason why an endpoint takes a limited number of requests a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RateSource {
+    /// The endpoint names the limit in its responses.
+    Endpoint,
+    /// The endpoint is cold.
+    Cold,
+}
+
+/// Bucket of tokens, one for each request, that fills at the lower one of the rates of both sources.
 #[derive(Debug, Default)]
 pub struct RequestPacer {
-    /// Requests per second, or none if the endpoint names no limit.
-    rate: Option<f64>,
+    /// Requests per second by source, or none without a limit.
+    rates: [Option<f64>; 2],
     tokens: f64,
     updated_at: Duration,
 }
 
 impl RequestPacer {
-    /// Sets the rate in requests per second that the endpoint names, or none if it names none;
-    /// returns true if that is a change.
-    pub fn set_rate(&mut self, rate: Option<f64>, now: Duration) -> bool {
+    /// Sets the rate of a source in requests per second, or none without a limit; returns true if that is
+    /// a change.
+    pub fn set_rate(&mut self, source: RateSource, rate: Option<f64>, now: Duration) -> bool {
         let rate = rate
             .filter(|rate| *rate < MAX_RATE)
             .map(|rate| rate.max(MIN_RATE));
-        if rate == self.rate {
+        if rate == self.rates[source as usize] {
             return false;
         }
         // A bucket that was full at a higher rate must not outlive it.
         self.refill(now);
-        self.rate = rate;
+        self.rates[source as usize] = rate;
         self.tokens = self.tokens.min(self.capacity());
         true
     }
 
     /// Returns the rate in force in requests per second, or none without a limit.
     pub fn rate(&self) -> Option<f64> {
-        self.rate
+        self.rates.into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns the rate of one source in requests per second, or none without a limit.
+    pub fn source_rate(&self, source: RateSource) -> Option<f64> {
+        self.rates[source as usize]
     }
 
     /// Returns the time until there are tokens for this number of requests.
     pub fn delay(&self, requests: f64, now: Duration) -> Duration {
-        let Some(rate) = self.rate else {
+        let Some(rate) = self.rate() else {
             return Duration::ZERO;
         };
         let missing = (requests - self.tokens_at(now)).max(0.0);
@@ -59,7 +75,7 @@
     ///
     /// Returns the time until there is a token.
     pub fn take(&mut self, now: Duration) -> Result<(), Duration> {
-        if self.rate.is_none() {
+        if self.rate().is_none() {
             return Ok(());
         }
         self.refill(now);
@@ -83,12 +99,12 @@
 
     fn tokens_at(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        let rate = self.rate.unwrap_or(0.0);
+        let rate = self.rate().unwrap_or(0.0);
         (self.tokens + rate * elapsed).min(self.capacity())
     }
 
     fn capacity(&self) -> f64 {
-        let rate = self.rate.unwrap_or(0.0);
+        let rate = self.rate().unwrap_or(0.0);
         (rate * BURST_TIME.as_secs_f64()).max(1.0)
     }
 }
--- a/src/mesh/control/announcements.rs
+++ b/src/mesh/control/announcements.rs
@@ -38,8 +38,13 @@
     announcement: &EndpointAnnouncement,
     path: &str,
 ) -> EndpointStatus {
+    let asked_at = state.executor.now();
     match check_status(&state.header_names, announcement, path).await {
-        Ok(status) => status,
+        Ok(reply) => {
+            let executor = &state.executor;
+            executor.record_cold_check(announcement, reply, asked_at);
+            reply.status
+        }
         Err(error) => {
             let event = LogEvent::EndpointChecked.number();
             tracing::warn!(event, endpoint = announcement.id, %error, "the status check failed");
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -57,6 +57,11 @@
             ("store_reader", f64::from(u8::from(self.reads_store()))),
             ("endpoint_limit", f64::from(executor.limit())),
             ("endpoint_rate", executor.rate().unwrap_or(-1.0)),
+            ("endpoint_cold_rate", executor.cold_rate().unwrap_or(-1.0)),
+            (
+                "endpoint_cold_remaining_seconds",
+                executor.cold_remaining().as_secs_f64(),
+            ),
             ("endpoint_running", f64::from(executor.running())),
             ("endpoint_waiting", f64::from(waiting)),
             ("open_requests", f64::from(self.open_requests())),
--- a/src/mesh/control/mod.rs
+++ b/src/mesh/control/mod.rs
@@ -3,10 +3,12 @@
 
 mod allocation;
 mod announcements;
+mod coldness;
 mod demand;
 mod metrics;
 mod peer_link;
 
 pub use allocation::update_shares;
 pub use announcements::confirm_endpoints;
+pub use coldness::track_coldness;
 pub use peer_link::maintain_link;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::control::confirm_endpoints;
+use super::control::track_coldness;
 use super::control::update_shares;
 use super::entry::serve_callers;
 use super::executor::accept_links;
@@ -55,6 +56,7 @@
         tokio::task::spawn_local(serve_callers(state.clone(), callers, stopped));
         tokio::task::spawn_local(update_shares(state.clone()));
         tokio::task::spawn_local(confirm_endpoints(state.clone()));
+        tokio::task::spawn_local(track_coldness(state.clone()));
         Ok(Self { state, stop })
     }
 
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+use rand::rngs::SmallRng;
 use smallvec::SmallVec;
 
 use super::super::executor::CallOutcome;
@@ -15,6 +16,7 @@
 use super::super::state::MeshState;
 use crate::clock::BootTime;
 use crate::codes::ResultCode;
+use crate::decisions::cold::joins_draw;
 use crate::decisions::placement::pick_executor;
 use crate::decisions::placement::ExecutorLoad;
 use crate::observe::LogEvent;
@@ -194,18 +196,23 @@
         let mut loads: SmallVec<[ExecutorLoad; 16]> = SmallVec::new();
         // The peer of each entry in `loads`, or none for this daemon.
         let mut candidates: SmallVec<[Option<&Rc<Peer>>; 16]> = SmallVec::new();
+        let mut rated: SmallVec<[bool; 16]> = SmallVec::new();
         for peer in peers.iter().filter(|peer| !tried.contains(&peer.address)) {
             let load = peer.with_report(|report| {
-                report.endpoint.as_ref().map(|endpoint| ExecutorLoad {
-                    in_hand: peer.load(),
-                    slots: endpoint.slots,
-                    cold: endpoint.cold,
-                    same_domain: *peer.failure_domain() == *own_domain,
-                    silent: peer.is_silent(),
+                report.endpoint.as_ref().map(|endpoint| {
+                    let load = ExecutorLoad {
+                        in_hand: peer.load(),
+                        slots: endpoint.slots,
+                        cold: endpoint.cold,
+                        same_domain: *peer.failure_domain() == *own_domain,
+                        silent: peer.is_silent(),
+                    };
+                    (load, endpoint.rated)
                 })
             });
-            if let Some(Some(load)) = load {
+            if let Some(Some((load, is_rated))) = load {
                 loads.push(load);
+                rated.push(is_rated);
                 candidates.push(Some(peer));
             }
         }
@@ -217,12 +224,33 @@
                 same_domain: true,
                 silent: false,
             });
+            rated.push(endpoint.rated);
             candidates.push(None);
         }
-        let index = pick_executor(&loads, &mut *state.rng.borrow_mut())?;
+        let index = pick_index(&loads, &rated, &mut state.rng.borrow_mut())?;
         Some(match candidates[index] {
             Some(peer) => (peer.address, ExecutorTarget::Remote(peer.clone())),
             None => (own_address, ExecutorTarget::Local),
         })
     })
 }
+
+/// Picks an executor among those that take part in the choice for this call: cold endpoints only do so in
+/// proportion to what they take. If none takes part, all do.
+fn pick_index(loads: &[ExecutorLoad], rated: &[bool], rng: &mut SmallRng) -> Option<usize> {
+    if !rated.contains(&true) {
+        return pick_executor(loads, rng);
+    }
+    let in_hand: u32 = loads.iter().map(|load| load.in_hand).sum();
+    let mut drawn: SmallVec<[usize; 16]> = SmallVec::new();
+    for (index, load) in loads.iter().enumerate() {
+        if !rated[index] || joins_draw(load.slots, in_hand, rng) {
+            drawn.push(index);
+        }
+    }
+    if drawn.is_empty() {
+        return pick_executor(loads, rng);
+    }
+    let taking_part: SmallVec<[ExecutorLoad; 16]> = drawn.iter().map(|one| loads[*one]).collect();
+    Some(drawn[pick_executor(&taking_part, rng)?])
+}
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -25,6 +25,7 @@
 use super::call::EndpointResponse;
 use super::classify::classify_response;
 use super::classify::ResponseClass;
+use super::coldness::ColdWatch;
 use super::limits::EndpointLimits;
 use super::parents::merge_usage;
 use super::parents::ParentGuard;
@@ -42,6 +43,7 @@
 use crate::decisions::announcement::EndpointChange;
 use crate::decisions::announcement::EndpointStatus;
 use crate::decisions::announcement::EndpointTracker;
+use crate::decisions::pacing::RateSource;
 use crate::decisions::placement::usable_slots;
 use crate::decisions::root_admission::ServiceUsage;
 use crate::observe::LogEvent;
@@ -65,10 +67,11 @@
     announce_interval: Cell<Duration>,
     clock: Rc<DeadlineClock>,
     started: Instant,
-    tracker: RefCell<EndpointTracker>,
+    pub(super) tracker: RefCell<EndpointTracker>,
+    pub(super) cold: ColdWatch,
     /// Notified after each announcement.
     pub announced: Notify,
-    slots: Rc<SlotQueue>,
+    pub(super) slots: Rc<SlotQueue>,
     pool: ConnectionPool,
     parents: RefCell<ParentTable>,
     stopping: Cell<bool>,
@@ -89,6 +92,7 @@
             clock,
             started: Instant::now(),
             tracker: RefCell::new(EndpointTracker::from_start(wall_ms())),
+            cold: ColdWatch::default(),
             announced: Notify::new(),
             slots: SlotQueue::new(),
             pool: ConnectionPool::default(),
@@ -105,13 +109,15 @@
 
     /// Handles an announcement of the endpoint.
     pub fn handle_announcement(&self, announcement: EndpointAnnouncement) -> EndpointChange {
-        let slots = announcement.slots;
+        let (slots, cold) = (announcement.slots, announcement.cold);
+        let was_usable = self.usable_endpoint().is_some();
         let change = self.tracker.borrow_mut().apply(announcement, self.now());
+        self.apply_announced_cold(change, cold, was_usable);
         match change {
             EndpointChange::Started | EndpointChange::Returned => {
                 self.pool.clear();
                 if change == EndpointChange::Started {
-                    self.slots.set_rate(None);
+                    self.slots.set_rate(RateSource::Endpoint, None);
                 }
                 self.slots.set_limit(usable_slots(slots));
             }
@@ -300,6 +306,7 @@
                     forwarded.set(false);
                     return None;
                 }
+                self.record_break();
                 self.log_unknown_outcome(call, &error.into_error().to_string());
                 return Some(CallOutcome::Unknown);
             }
@@ -325,6 +332,7 @@
         response: Response<hyper::body::Incoming>,
         until: BootTime,
     ) -> CallOutcome {
+        self.record_answer();
         let (head, body) = response.into_parts();
         let attempt_id = call.headers.get(&self.header_names.attempt);
         let attempt_id = attempt_id.map(|value| value.as_bytes());
@@ -437,7 +445,7 @@
             tracing::warn!(event, endpoint, "the endpoint leaves");
         }
         drop(tracker);
-        if self.slots.set_rate(limits.rate) {
+        if self.slots.set_rate(RateSource::Endpoint, limits.rate) {
             let event = LogEvent::EndpointLimited.number();
             let rate = limits.rate;
             tracing::warn!(event, endpoint, rate, "the endpoint's limit changed");
@@ -468,7 +476,8 @@
         value.and_then(|value| value.to_str().ok()).unwrap_or("")
     }
 
-    fn now(&self) -> Duration {
+    /// Returns the time since the executor was created.
+    pub fn now(&self) -> Duration {
         self.started.elapsed()
     }
 }
--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod calls;
 mod classify;
+mod coldness;
 mod endpoint;
 mod limited_stream;
 mod limits;
@@ -32,4 +33,6 @@
 pub use slots::SlotQueue;
 pub use status_check::check_status;
 pub use status_check::classify_status;
+pub use status_check::read_cold_time;
 pub use status_check::StatusError;
+pub use status_check::StatusReply;
--- a/src/mesh/executor/slots.rs
+++ b/src/mesh/executor/slots.rs
@@ -2,7 +2,7 @@
 //!
 //! Calls are queued here and not at the endpoint, so that they are served by the rank of the root
 //! request of their call graph, and a call that is cancelled or whose endpoint drains never reaches
-//! the endpoint. If the endpoint names how many requests it takes a second, calls wait for that too.
+//! the endpoint. If the endpoint takes a limited number of requests a second, calls wait for that too.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tokio::time::Instant;
 
+use crate::decisions::pacing::RateSource;
 use crate::decisions::pacing::RequestPacer;
 
 /// Weight of the newest call in the mean time that a call holds a slot.
@@ -88,22 +89,28 @@
         self.grant_waiting();
     }
 
-    /// Sets the requests per second that the endpoint takes, or none if it names no limit; returns true
-    /// if that is a change.
-    pub fn set_rate(self: &Rc<Self>, rate: Option<f64>) -> bool {
+    /// Sets the requests per second that the endpoint takes according to a source, or none without a
+    /// limit; returns true if that is a change. The lower one of both sources is in force.
+    pub fn set_rate(self: &Rc<Self>, source: RateSource, rate: Option<f64>) -> bool {
         let now = self.now();
-        let changed = self.state.borrow_mut().pacer.set_rate(rate, now);
+        let changed = self.state.borrow_mut().pacer.set_rate(source, rate, now);
         if changed {
             self.grant_waiting();
         }
         changed
     }
 
-    /// Returns the requests per second that the endpoint takes, or none if it names no limit.
+    /// Returns the requests per second that the endpoint takes, or none without a limit.
     pub fn rate(&self) -> Option<f64> {
         self.state.borrow().pacer.rate()
     }
 
+    /// Returns the requests per second that the endpoint takes according to a source, or none without a
+    /// limit.
+    pub fn source_rate(&self, source: RateSource) -> Option<f64> {
+        self.state.borrow().pacer.source_rate(source)
+    }
+
     /// Returns the number of `announced` slots that the endpoint's rate keeps busy.
     pub fn paced_slots(&self, announced: u32) -> u32 {
         let mut state = self.state.borrow_mut();
--- a/src/mesh/executor/status_check.rs
+++ b/src/mesh/executor/status_check.rs
@@ -22,6 +22,17 @@
 /// Time in which an endpoint answers; one that is full may not have a slot for the check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time for which an endpoint can say that it stays cold.
+const MAX_COLD_TIME: Duration = Duration::from_secs(600);
+
+/// What an endpoint says of itself in a status check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatusReply {
+    pub status: EndpointStatus,
+    /// Time for which the endpoint stays cold, or none if it can't be read.
+    pub cold: Option<Duration>,
+}
+
 /// Reasons why an endpoint could not be asked.
 #[derive(Debug, Error)]
 pub enum StatusError {
@@ -44,14 +55,17 @@
     names: &HeaderNames,
     announcement: &EndpointAnnouncement,
     path: &str,
-) -> Result<EndpointStatus, StatusError> {
+) -> Result<StatusReply, StatusError> {
     let target: Uri = path
         .parse()
         .map_err(|_| StatusError::InvalidPath(path.to_owned()))?;
     let exchange = request_status(announcement.address, target);
     let result = timeout(CHECK_TIMEOUT, exchange).await;
     let (status, headers) = result.map_err(|_| StatusError::TimedOut)??;
-    Ok(classify_status(names, &announcement.id, status, &headers))
+    Ok(StatusReply {
+        status: classify_status(names, &announcement.id, status, &headers),
+        cold: read_cold_time(names, &headers),
+    })
 }
 
 async fn request_status(
@@ -69,6 +83,17 @@
     Ok((head.status, head.headers))
 }
 
+/// Returns the time for which the endpoint that sent these headers stays cold: none at all without the
+/// header, and nothing if it can't be read.
+pub fn read_cold_time(names: &HeaderNames, headers: &HeaderMap) -> Option<Duration> {
+    let Some(value) = headers.get(&names.cold_remaining) else {
+        return Some(Duration::ZERO);
+    };
+    let milliseconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let seconds = (milliseconds / 1000.0).clamp(0.0, MAX_COLD_TIME.as_secs_f64());
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Returns what the answer to a status check of the endpoint `id` says.
 pub fn classify_status(
     names: &HeaderNames,
--- a/src/mesh/fleet/config.rs
+++ b/src/mesh/fleet/config.rs
@@ -6,6 +6,7 @@
 
 use smallvec::SmallVec;
 
+use crate::decisions::cold::ColdLimit;
 use crate::decisions::quota::QuotaRule;
 
 /// One version of the configuration.
@@ -16,6 +17,8 @@
     pub organisations: Vec<OrganisationRule>,
     /// Paths of status checks by service.
     pub status_paths: HashMap<String, String>,
+    /// Limits on the requests to cold endpoints by service; services without one are not limited.
+    pub cold_limits: HashMap<String, ColdLimit>,
     pub limits: CallerLimits,
     /// Parts of the configuration that were not understood, for the log.
     pub warnings: Vec<String>,
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -20,8 +20,10 @@
 pub struct EndpointReport {
     pub service: String,
     pub slots: u32,
-    /// True while the endpoint is slow after its start.
+    /// True while the endpoint is slow after its start and its slots don't show that.
     pub cold: bool,
+    /// True while the endpoint is cold and takes few requests a second, which its slots show.
+    pub rated: bool,
 }
 
 impl DaemonReport {
--- a/src/mesh/header_names.rs
+++ b/src/mesh/header_names.rs
@@ -25,4 +25,6 @@
     pub leaving: HeaderName,
     /// Identifier of the endpoint that answers a status check.
     pub endpoint: HeaderName,
+    /// Time in milliseconds for which an endpoint that answers a status check stays cold.
+    pub cold_remaining: HeaderName,
 }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::decisions::cold::ColdBound;
 use crate::decisions::quota::QuotaTolerance;
 use crate::decisions::readers::ProofLimits;
 use crate::decisions::retries::RetryBound;
@@ -28,6 +29,8 @@
     pub repeat_rule: RetryBound,
     /// Tolerated excess over an organisation's quota.
     pub quota_tolerance: QuotaTolerance,
+    /// Bound on the requests to a cold endpoint in one second, if there is one.
+    pub cold_bound: Option<ColdBound>,
     /// Maximum memory for request and response bodies, in bytes.
     pub body_memory_bytes: usize,
     /// Time from the request to shut down until the process is killed.
--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -74,6 +74,9 @@
         for warning in &config.warnings {
             tracing::warn!(event, new, warning, "part of the configuration is unknown");
         }
+        let cold_bound = self.settings().cold_bound;
+        self.executor
+            .set_cold_limits(&config.cold_limits, cold_bound);
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::from_config(config)));
         // A proof for an older version remains valid, because this one includes all its changes.
         *self.raw_config.borrow_mut() = raw.clone();
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -230,10 +230,12 @@
     /// Returns the state of the endpoint on this VM, while it accepts new calls.
     pub fn endpoint_report(&self) -> Option<EndpointReport> {
         let (announcement, cold) = self.executor.usable_endpoint()?;
+        let is_rated = self.executor.cold_rate().is_some();
         Some(EndpointReport {
             service: announcement.service,
             slots: self.executor.paced_slots(announcement.slots),
-            cold: !cold.is_zero(),
+            cold: !cold.is_zero() && !is_rated,
+            rated: is_rated,
         })
     }
 
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -36,6 +36,10 @@
     EndpointLimited = 1103, "The endpoint on this VM named or withdrew a limit of requests per second.";
     EndpointLeaving = 1104, "The endpoint on this VM said in a response that it leaves.";
     EndpointChecked = 1105, "The endpoint on this VM, which is older than the daemon, was asked whether it leaves.";
+    ColdBegan = 1120, "The endpoint on this VM is taken for cold and gets requests at its cold rate.";
+    ColdEnded = 1121, "The endpoint on this VM is no longer taken for cold.";
+    ColdSuspected = 1122, "The endpoint on this VM may be cold, as it may have started anew unnoticed.";
+    ColdChecked = 1123, "The endpoint on this VM, which may be cold, was asked whether it is.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/standins/src/mesh.rs
+++ b/standins/src/mesh.rs
@@ -23,6 +23,7 @@
         request_rate: HeaderName::from_static("x-rate"),
         leaving: HeaderName::from_static("x-leaving"),
         endpoint: HeaderName::from_static("x-endpoint"),
+        cold_remaining: HeaderName::from_static("x-cold-ms"),
     }
 }
 
@@ -55,6 +56,7 @@
             overage: 0.1,
             slack: 20.0,
         },
+        cold_bound: None,
         body_memory_bytes: 32 * 1024 * 1024,
         stop_grace: Duration::from_secs(6),
     }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Property and unit tests of the control policies, with simulated time and fixed seeds.
 
 mod admission;
+mod cold;
 mod configuration;
 mod dedup;
 mod documents;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod calls;
 mod classify;
+mod coldness;
 mod config_fetch;
 mod demand;
 mod fleet_size;
--- a/tests/mesh/pacing.rs
+++ b/tests/mesh/pacing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use marigoldhatch::decisions::pacing::RateSource;
 use marigoldhatch::decisions::pacing::RequestPacer;
 
 /// Length of the window in which an endpoint's requests are counted.
@@ -25,7 +26,7 @@
     let mut pacer = RequestPacer::default();
     let start = Duration::from_secs(7);
     assert_eq!(passed(&mut pacer, Duration::ZERO), 4000.0);
-    assert!(pacer.set_rate(Some(rate), start));
+    assert!(pacer.set_rate(RateSource::Endpoint, Some(rate), start));
     let limit = rate * (WINDOW.as_secs_f64() + 0.1) + 1.0;
     let passed = passed(&mut pacer, start);
     assert!(passed <= limit, "{passed} of {limit}");
@@ -35,7 +36,7 @@
 #[test]
 fn idle_time_saves_up_no_more_than_the_burst() {
     let mut pacer = RequestPacer::default();
-    pacer.set_rate(Some(50.0), Duration::ZERO);
+    pacer.set_rate(RateSource::Endpoint, Some(50.0), Duration::ZERO);
     let later = Duration::from_secs(3600);
     let taken = (0..100).filter(|_| pacer.take(later).is_ok()).count();
     assert_eq!(taken, 5);
@@ -49,7 +50,7 @@
 #[case::slow(0.7, 3)]
 fn endpoint_that_takes_nothing_is_still_asked(#[case] rate: f64, #[case] expected: usize) {
     let mut pacer = RequestPacer::default();
-    pacer.set_rate(Some(rate), Duration::ZERO);
+    pacer.set_rate(RateSource::Endpoint, Some(rate), Duration::ZERO);
     let arrivals = (0..=400).map(|step| Duration::from_millis(step * 10));
     let passed = arrivals.filter(|now| pacer.take(*now).is_ok()).count();
     assert!((1..=expected).contains(&passed), "{passed}");
@@ -58,11 +59,11 @@
 #[test]
 fn withdrawn_limit_lets_all_requests_pass() {
     let mut pacer = RequestPacer::default();
-    pacer.set_rate(Some(1.0), Duration::ZERO);
+    pacer.set_rate(RateSource::Endpoint, Some(1.0), Duration::ZERO);
     assert!(
-        !pacer.set_rate(Some(1.0), Duration::ZERO),
+        !pacer.set_rate(RateSource::Endpoint, Some(1.0), Duration::ZERO),
         "nothing changed"
     );
-    assert!(pacer.set_rate(None, Duration::from_secs(1)));
+    assert!(pacer.set_rate(RateSource::Endpoint, None, Duration::from_secs(1)));
     assert!((0..100).all(|_| pacer.take(Duration::from_secs(1)).is_ok()));
 }
--- a/tests/mesh/peers.rs
+++ b/tests/mesh/peers.rs
@@ -31,6 +31,7 @@
             service: "archive".to_owned(),
             slots: 4,
             cold: false,
+            rated: false,
         }),
         ..DaemonReport::default()
     }
--- a/tests/mesh/proof.rs
+++ b/tests/mesh/proof.rs
@@ -42,6 +42,7 @@
         routes: Vec::new(),
         organisations: Vec::new(),
         status_paths: HashMap::new(),
+        cold_limits: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
--- a/tests/mesh/route_table.rs
+++ b/tests/mesh/route_table.rs
@@ -45,6 +45,7 @@
         routes,
         organisations,
         status_paths: HashMap::new(),
+        cold_limits: HashMap::new(),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1024,
--- a/tests/mesh/slots.rs
+++ b/tests/mesh/slots.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marigoldhatch::decisions::pacing::RateSource;
 use marigoldhatch::mesh::executor::SlotQueue;
 use tokio::task::spawn_local;
 use tokio::task::LocalSet;
@@ -91,7 +92,7 @@
         .run_until(async {
             let queue = SlotQueue::new();
             queue.set_limit(8);
-            assert!(queue.set_rate(Some(10.0)));
+            assert!(queue.set_rate(RateSource::Endpoint, Some(10.0)));
             let order = Rc::new(RefCell::new(Vec::new()));
             for (name, rank) in [("late", 18), ("later", 18), ("urgent", 16)] {
                 let (queue, order) = (queue.clone(), order.clone());
@@ -118,11 +119,11 @@
         .run_until(async {
             let queue = SlotQueue::new();
             queue.set_limit(8);
-            queue.set_rate(Some(0.5));
+            queue.set_rate(RateSource::Endpoint, Some(0.5));
             let started = tokio::time::Instant::now();
             assert!(queue.acquire(0, QUEUE_TIMEOUT).await.is_none());
             assert_eq!(started.elapsed(), Duration::ZERO);
-            assert!(queue.set_rate(None));
+            assert!(queue.set_rate(RateSource::Endpoint, None));
             assert!(queue.acquire(0, QUEUE_TIMEOUT).await.is_some());
         })
         .await;
@@ -135,13 +136,68 @@
         queue.record_run_time(Duration::from_millis(250));
     }
     assert_eq!(queue.paced_slots(185), 185);
-    queue.set_rate(Some(40.0));
+    queue.set_rate(RateSource::Endpoint, Some(40.0));
     assert_eq!(queue.paced_slots(185), 10);
-    queue.set_rate(Some(42.0));
+    queue.set_rate(RateSource::Endpoint, Some(42.0));
     assert_eq!(queue.paced_slots(185), 10, "a small change is not reported");
-    queue.set_rate(Some(80.0));
+    queue.set_rate(RateSource::Endpoint, Some(80.0));
     assert_eq!(queue.paced_slots(185), 20);
     assert_eq!(queue.paced_slots(12), 12);
-    queue.set_rate(None);
+    queue.set_rate(RateSource::Endpoint, None);
     assert_eq!(queue.paced_slots(185), 185);
 }
+
+/// A cold endpoint that also names a limit gets the lower rate, and the other one again afterwards.
+#[tokio::test(start_paused = true)]
+async fn lower_one_of_two_rates_is_in_force() {
+    LocalSet::new()
+        .run_until(async {
+            let queue = SlotQueue::new();
+            queue.set_limit(100);
+            queue.set_rate(RateSource::Endpoint, Some(40.0));
+            assert!(queue.set_rate(RateSource::Cold, Some(20.0)));
+            assert_eq!(queue.rate(), Some(20.0));
+            assert_eq!(queue.source_rate(RateSource::Endpoint), Some(40.0));
+            let granted = Rc::new(RefCell::new(0));
+            for _ in 0..60 {
+                let (queue, granted) = (queue.clone(), granted.clone());
+                spawn_local(async move {
+                    let permit = queue.acquire(0, Duration::from_secs(9)).await;
+                    *granted.borrow_mut() += u32::from(permit.is_some());
+                });
+            }
+            sleep(Duration::from_millis(1010)).await;
+            assert!((19..=21).contains(&*granted.borrow()));
+            assert!(queue.set_rate(RateSource::Cold, None));
+            assert_eq!(queue.rate(), Some(40.0));
+            sleep(Duration::from_millis(500)).await;
+            assert!((39..=43).contains(&*granted.borrow()));
+        })
+        .await;
+}
+
+/// A flood of many entries on a cold endpoint is refused at once beyond what it takes in their queue
+/// timeout, so that the calls go elsewhere in time.
+#[tokio::test(start_paused = true)]
+async fn flood_on_a_cold_endpoint_is_refused_without_a_wait() {
+    LocalSet::new()
+        .run_until(async {
+            let queue = SlotQueue::new();
+            queue.set_limit(100);
+            queue.set_rate(RateSource::Cold, Some(17.0));
+            let refused = Rc::new(RefCell::new(0));
+            for _ in 0..100 {
+                let (queue, refused) = (queue.clone(), refused.clone());
+                spawn_local(async move {
+                    let permit = queue.acquire(0, Duration::from_millis(300)).await;
+                    *refused.borrow_mut() += u32::from(permit.is_none());
+                });
+            }
+            sleep(Duration::from_millis(1)).await;
+            assert_eq!(queue.in_hand(), 5);
+            assert_eq!(*refused.borrow(), 95);
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(*refused.borrow(), 95, "those that wait are served");
+        })
+        .await;
+}
