--- a/src/mesh/executor/evacuation.rs
+++ b/src/mesh/executor/evacuation.rs
@@ -43,7 +43,4 @@
     pub fn evacuation_refusals(&self) -> u64 {
         self.evacuation.refused.get()
     }
-
-    /// Prepares for calls to an endpoint that had none during an evacuation and may be cold since.
-    pub fn begin_recovery(&self) {}
 }
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -38,6 +38,10 @@
     EndpointChecked = 1105, "The endpoint on this VM, which is older than the daemon, was asked whether it leaves.";
     EvacuationBegan = 1110, "A failure domain is evacuated: this daemon sends nothing to the endpoints there.";
     EvacuationEnded = 1111, "The evacuation of a failure domain was taken back.";
+    ColdBegan = 1120, "The endpoint on this VM is taken for cold and gets requests at its cold rate.";
+    ColdEnded = 1121, "The endpoint on this VM is no longer taken for cold.";
+    ColdSuspected = 1122, "The endpoint on this VM may be cold, as it may have started anew unnoticed.";
+    ColdChecked = 1123, "The endpoint on this VM, which may be cold, was asked whether it is.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod charges;
 mod classify;
+mod coldness;
 mod config_fetch;
 mod demand;
 mod evacuation;
