--- a/bench/src/handlings/forward.rs
+++ b/bench/src/handlings/forward.rs
@@ -10,8 +10,10 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper_util::rt::TokioIo;
@@ -28,20 +30,22 @@
 /// Serves an endpoint that responds to each request with a small body, until `stop` completes.
 pub async fn serve_endpoint(address: SocketAddr, stop: oneshot::Receiver<()>) {
     serve(address, stop, |request| async move {
-        let mut response = Response::new(Full::new(Bytes::from_static(RESPONSE_BODY)));
-        let headers = response.headers_mut();
-        if let Some(attempt) = request.headers().get("x-attempt") {
-            headers.insert("x-attempt", attempt.clone());
-        }
-        headers.insert(
-            "x-seal",
-            "1.2.3".parse().expect("the header value is valid"),
-        );
-        response
+        endpoint_response(request.headers())
     })
     .await;
 }
 
+/// Returns a small response that a daemon accepts as the endpoint's own.
+pub fn endpoint_response(request_headers: &HeaderMap) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(RESPONSE_BODY)));
+    let headers = response.headers_mut();
+    if let Some(attempt) = request_headers.get("x-attempt") {
+        headers.insert("x-attempt", attempt.clone());
+    }
+    headers.insert("x-seal", HeaderValue::from_static("1.2.3"));
+    response
+}
+
 /// Serves a forwarder that sends each request to `next`, until `stop` completes.
 pub async fn serve_forwarder(address: SocketAddr, next: SocketAddr, stop: oneshot::Receiver<()>) {
     let pool = Rc::new(ConnectionPool::default());
@@ -74,7 +78,7 @@
 }
 
 /// Accepts connections and serves them with `handle` until `stop` completes.
-async fn serve<H, A>(address: SocketAddr, stop: oneshot::Receiver<()>, handle: H)
+pub async fn serve<H, A>(address: SocketAddr, stop: oneshot::Receiver<()>, handle: H)
 where
     H: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Response<Full<Bytes>>> + 'static,
--- a/bench/src/handlings/load.rs
+++ b/bench/src/handlings/load.rs
@@ -18,16 +18,40 @@
 /// Delay after a failed connection or an unsuccessful response, as from a daemon that is starting.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// What the callers of a load do.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadShape {
+    /// Number of callers, each with one request at a time.
+    pub in_flight: usize,
+    /// Time between a response and the caller's next request.
+    pub pause: Duration,
+    /// Number of requests after which a caller opens a new connection.
+    pub requests_per_connection: u64,
+    /// API key that the requests carry.
+    pub api_key: Option<&'static str>,
+}
+
 /// Keeps `in_flight` requests open for `duration` and returns the number of successful ones.
 pub fn run_load(address: SocketAddr, in_flight: usize, duration: Duration) -> u64 {
+    let shape = LoadShape {
+        in_flight,
+        pause: Duration::ZERO,
+        requests_per_connection: u64::MAX,
+        api_key: None,
+    };
+    run_paced_load(address, shape, duration)
+}
+
+/// Sends requests for `duration` and returns the number of successful ones.
+pub fn run_paced_load(address: SocketAddr, shape: LoadShape, duration: Duration) -> u64 {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("failed to build the runtime");
     runtime.block_on(async {
         let end = Instant::now() + duration;
-        let callers: Vec<_> = (0..in_flight)
-            .map(|_| tokio::spawn(send_until(address, end)))
+        let callers: Vec<_> = (0..shape.in_flight)
+            .map(|_| tokio::spawn(send_until(address, shape, end)))
             .collect();
         let mut success_count = 0;
         for caller in callers {
@@ -38,25 +62,32 @@
 }
 
 /// Sends requests one after another until `end` and returns the number of successful ones.
-async fn send_until(address: SocketAddr, end: Instant) -> u64 {
-    let stream = connect(address).await;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .expect("the HTTP handshake failed");
-    tokio::spawn(connection);
+async fn send_until(address: SocketAddr, shape: LoadShape, end: Instant) -> u64 {
     let mut success_count = 0;
     while Instant::now() < end {
-        sender.ready().await.expect("the connection was closed");
-        let response = sender
-            .send_request(build_request())
+        let stream = connect(address).await;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .expect("failed to read the response");
-        let is_success = response.status().is_success();
-        let body = response.into_body().collect().await;
-        if is_success && body.is_ok() {
-            success_count += 1;
-        } else {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            .expect("the HTTP handshake failed");
+        tokio::spawn(connection);
+        let mut sent = 0;
+        while sent < shape.requests_per_connection && Instant::now() < end {
+            sent += 1;
+            sender.ready().await.expect("the connection was closed");
+            let response = sender
+                .send_request(build_request(shape.api_key))
+                .await
+                .expect("failed to read the response");
+            let is_success = response.status().is_success();
+            let body = response.into_body().collect().await;
+            if is_success && body.is_ok() {
+                success_count += 1;
+            } else {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+            if !shape.pause.is_zero() {
+                tokio::time::sleep(shape.pause).await;
+            }
         }
     }
     success_count
@@ -75,9 +106,13 @@
     }
 }
 
-fn build_request() -> Request<Empty<Bytes>> {
+fn build_request(api_key: Option<&str>) -> Request<Empty<Bytes>> {
     let attempt = NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed);
-    Request::builder()
+    let mut request = Request::builder();
+    if let Some(key) = api_key {
+        request = request.header("authorization", format!("Bearer {key}"));
+    }
+    request
         .uri("/deep/get")
         .header("host", "deep.example")
         .header("x-attempt", format!("{attempt:016x}"))
--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -1,10 +1,14 @@
 //! Measures the CPU time that a daemon of the mesh spends on one handling of a call: one pass of
 //! the call through the daemon.
 //!
+//! The last table shows the same for a load like that of a day, where the links and tasks are idle most of
+//! the time.
+//!
 //! The callers, the entry, the executor and the endpoint each run on their own thread, so that the
 //! CPU time of the two daemons is separate from that of the load. The same load goes
 //! through two forwarders on pooled HTTP/1.1 connections for comparison.
 
+mod day;
 mod forward;
 mod load;
 mod thread;
@@ -68,6 +72,7 @@
         }
     }
     println!("target: at most {TARGET_US_PER_HANDLING} us per handling");
+    day::run();
 }
 
 impl CallPath {
--- a/src/observe/line_buffer.rs
+++ b/src/observe/line_buffer.rs
@@ -110,6 +110,11 @@
 
 /// Installs a subscriber that logs JSON lines to standard output through a background thread.
 pub fn start_stdout_log(level: Level) -> LineBuffer {
+    start_log(level, std::io::stdout())
+}
+
+/// Installs a subscriber that logs JSON lines to `output` through a background thread.
+pub fn start_log(level: Level, mut output: impl Write + Send + 'static) -> LineBuffer {
     let buffer = LineBuffer::default();
     let subscriber = tracing_subscriber::fmt()
         .json()
@@ -124,8 +129,8 @@
     let lines = buffer.clone();
     std::thread::spawn(move || loop {
         std::thread::sleep(FLUSH_INTERVAL);
-        if lines.flush(&mut std::io::stdout().lock()).is_err() {
-            // Standard output is closed; the daemon continues without logging.
+        if lines.flush(&mut output).is_err() {
+            // The output is closed; the daemon continues without logging.
             return;
         }
     });
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -9,6 +9,7 @@
 mod stderr_log;
 
 pub use event::LogEvent;
+pub use line_buffer::start_log;
 pub use line_buffer::start_stdout_log;
 pub use line_buffer::LineBuffer;
 pub use metrics::DaemonMetrics;
