Touch less memory for each call and link

Futures go into timeouts as pinned references, which held them twice each; the announcement is read in place; ParentTable keeps ordered lists and one copy of an identifier; the values of decoded headers share an allocation; packets are written into the link's buffer; link buffers begin small; peers keep their order; one clock reading serves the idle pool.

--- a/src/clock/deadline.rs
+++ b/src/clock/deadline.rs
@@ -127,6 +127,9 @@
     }
 
     /// Runs `future` until `deadline`; returns none if the deadline passes first.
+    ///
+    /// The returned future holds `future` twice, as an argument and pinned. A large one is passed as a
+    /// pinned reference, since nested timeouts would double it each time.
     pub async fn timeout_at<F: Future>(&self, deadline: BootTime, future: F) -> Option<F::Output> {
         tokio::pin!(future);
         loop {
--- a/src/mesh/control/demand.rs
+++ b/src/mesh/control/demand.rs
@@ -104,7 +104,7 @@
     for peer in state.peers() {
         if peer.with_report(|report| !report.stopping) == Some(true) {
             let members = domains.entry(peer.failure_domain()).or_default();
-            members.insert(daemon_order(peer.address), peer);
+            members.insert(peer.order, peer);
         }
     }
     domains
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 
 use smallvec::SmallVec;
@@ -56,8 +57,12 @@
     limits: DispatchLimits,
 ) -> DispatchOutcome {
     let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
-    let attempts = try_executors(state, request, attempt_id, limits, &mut tried);
-    let result = state.clock.timeout_at(limits.until, attempts).await;
+    let result = {
+        let attempts = pin!(try_executors(
+            state, request, attempt_id, limits, &mut tried
+        ));
+        state.clock.timeout_at(limits.until, attempts).await
+    };
     let result = result.unwrap_or(Err(ResultCode::DeadlinePassed));
     DispatchOutcome {
         result,
@@ -184,12 +189,10 @@
     service: &str,
     tried: &[SocketAddrV4],
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
-    let own_address = state.settings().link_address;
-    let own_domain = state.settings().failure_domain.clone();
-    let own_endpoint = state
-        .endpoint_report()
-        .filter(|endpoint| endpoint.service == service && !state.is_stopping())
-        .filter(|_| !tried.contains(&own_address));
+    let settings = state.settings();
+    let own_address = settings.link_address;
+    let may_run_here = !state.is_stopping() && !tried.contains(&own_address);
+    let own_load = state.executor_load(service).filter(|_| may_run_here);
     state.with_executors(service, |peers| {
         let mut loads: SmallVec<[ExecutorLoad; 16]> = SmallVec::new();
         // The peer of each entry in `loads`, or none for this daemon.
@@ -200,7 +203,7 @@
                     in_hand: peer.load(),
                     slots: endpoint.slots,
                     cold: endpoint.cold,
-                    same_domain: *peer.failure_domain() == *own_domain,
+                    same_domain: peer.is_in_domain(&settings.failure_domain),
                     silent: peer.is_silent(),
                 })
             });
@@ -209,14 +212,8 @@
                 candidates.push(Some(peer));
             }
         }
-        if let Some(endpoint) = own_endpoint {
-            loads.push(ExecutorLoad {
-                in_hand: state.executor.in_hand(),
-                slots: endpoint.slots,
-                cold: endpoint.cold,
-                same_domain: true,
-                silent: false,
-            });
+        if let Some(load) = own_load {
+            loads.push(load);
             candidates.push(None);
         }
         let index = pick_executor(&loads, &mut *state.rng.borrow_mut())?;
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -1,6 +1,7 @@
 //! Serves the HTTP connections of callers, with one request at a time on each.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -171,8 +172,11 @@
     };
     let limit = routes.config().limits.body_bytes;
     drop(routes);
-    let read = read_body(body, limit, &state.body_budget);
-    let body = match state.clock.timeout_at(admitted.deadline, read).await {
+    let read = {
+        let read = pin!(read_body(body, limit, &state.body_budget));
+        state.clock.timeout_at(admitted.deadline, read).await
+    };
+    let body = match read {
         Some(Ok(body)) => body,
         Some(Err(error)) => {
             let code = match error {
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -152,12 +153,21 @@
         self.slots.reject_waiting();
     }
 
-    /// Returns the announcement of an endpoint that may get new calls, and the time for which it is
-    /// still cold.
-    pub fn usable_endpoint(&self) -> Option<(EndpointAnnouncement, Duration)> {
+    /// Runs `read` on the announcement of an endpoint that may get new calls, and on the time for which
+    /// it is still cold.
+    pub fn with_usable_endpoint<T>(
+        &self,
+        read: impl FnOnce(&EndpointAnnouncement, Duration) -> T,
+    ) -> Option<T> {
         let tracker = self.tracker.borrow();
-        let announcement = tracker.available(self.announce_interval.get(), self.now())?;
-        Some((announcement.clone(), tracker.cold_remaining(self.now())))
+        let now = self.now();
+        let announcement = tracker.available(self.announce_interval.get(), now)?;
+        Some(read(announcement, tracker.cold_remaining(now)))
+    }
+
+    /// Returns true if the endpoint may get new calls to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.with_usable_endpoint(|announcement, _| announcement.service == service) == Some(true)
     }
 
     /// Returns the number of calls that run or wait.
@@ -200,11 +210,11 @@
         if self.stopping.get() {
             return CallOutcome::Refused(RefusalCause::Stopping);
         }
-        if self.usable_endpoint_for(&call.service).is_none() {
+        if !self.serves(&call.service) {
             return CallOutcome::Refused(RefusalCause::EndpointGone);
         }
         let queue_timeout = call.queue_timeout.min(self.clock.remaining(call.deadline));
-        let acquisition = self.slots.acquire(call.origin.class.rank, queue_timeout);
+        let acquisition = pin!(self.slots.acquire(call.origin.class.rank, queue_timeout));
         let wait_until = self.clock.now() + queue_timeout;
         let permit = self.clock.timeout_at(wait_until, acquisition).await;
         let Some(permit) = permit.flatten() else {
@@ -263,8 +273,10 @@
                 }
             };
             // The endpoint may have left while the call waited for the connection.
-            let current = self.usable_endpoint_for(&call.service);
-            if current.is_none_or(|current| !current.is_same_incarnation(&announcement)) {
+            let is_same = |current: &EndpointAnnouncement| {
+                current.service == *call.service && current.is_same_incarnation(&announcement)
+            };
+            if self.with_usable_endpoint(|current, _| is_same(current)) != Some(true) {
                 return CallOutcome::Refused(RefusalCause::EndpointGone);
             }
             if let Some(outcome) = self
@@ -292,7 +304,7 @@
         let guard =
             ParentGuard::from_request(&self.parents, call.deadline, attempt_id, call.origin);
         connection.allowance.set(MAX_HEAD_READ_BYTES);
-        let sent = connection.sender.try_send_request(request);
+        let sent = pin!(connection.sender.try_send_request(request));
         let response = match self.clock.timeout_at(until, sent).await {
             Some(Ok(response)) => response,
             Some(Err(mut error)) => {
@@ -340,7 +352,7 @@
             return CallOutcome::Unknown;
         }
         connection.allowance.set(MAX_BODY_READ_BYTES);
-        let read = read_body(body, MAX_RESPONSE_BYTES, &self.body_budget);
+        let read = pin!(read_body(body, MAX_RESPONSE_BYTES, &self.body_budget));
         if class != ResponseClass::Refused(RefusalCause::EndpointReplaced) {
             self.apply_limits(announcement, &head.headers);
         }
@@ -399,15 +411,17 @@
     }
 
     fn usable_endpoint_for(&self, service: &str) -> Option<EndpointAnnouncement> {
-        let tracker = self.tracker.borrow();
-        let announcement = tracker.available(self.announce_interval.get(), self.now())?;
-        (announcement.service == service).then(|| announcement.clone())
+        let serves = |announcement: &EndpointAnnouncement| announcement.service == service;
+        let announcement = self.with_usable_endpoint(|announcement, _| {
+            serves(announcement).then(|| announcement.clone())
+        });
+        announcement.flatten()
     }
 
     fn refusal_cause(&self, service: &str) -> RefusalCause {
         if self.stopping.get() {
             RefusalCause::Stopping
-        } else if self.usable_endpoint_for(service).is_none() {
+        } else if !self.serves(service) {
             RefusalCause::EndpointGone
         } else {
             RefusalCause::QueueFull
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -6,8 +6,8 @@
 //! admission, so a wrong match breaks no guarantee.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -27,18 +27,24 @@
 
 #[derive(Debug)]
 struct ParentRecord {
+    number: u64,
     origin: CallOrigin,
     deadline: BootTime,
-    attempt_id: Box<str>,
+    attempt_id: Rc<str>,
     usage: TreeUsage,
 }
 
 /// Requests that the endpoint runs.
+///
+/// An endpoint runs no more requests at once than it has slots, so that lists in order are smaller and
+/// faster than trees.
 #[derive(Debug, Default)]
 pub struct ParentTable {
-    running: HashMap<u64, ParentRecord>,
-    by_deadline: BTreeMap<(BootTime, u64), ()>,
-    by_attempt_id: HashMap<Box<str>, u64>,
+    /// Running requests in the order of their numbers.
+    running: Vec<ParentRecord>,
+    /// Deadlines and numbers of the running requests, in order.
+    by_deadline: Vec<(BootTime, u64)>,
+    by_attempt_id: HashMap<Rc<str>, u64>,
     sequence: u64,
 }
 
@@ -47,24 +53,28 @@
     pub fn add(&mut self, deadline: BootTime, attempt_id: &str, origin: CallOrigin) -> u64 {
         self.sequence += 1;
         let number = self.sequence;
-        let record = ParentRecord {
+        let attempt_id: Rc<str> = Rc::from(attempt_id);
+        self.by_attempt_id.insert(attempt_id.clone(), number);
+        let position = self.deadline_position(deadline, number);
+        self.by_deadline.insert(position, (deadline, number));
+        self.running.push(ParentRecord {
+            number,
             origin,
             deadline,
-            attempt_id: attempt_id.into(),
+            attempt_id,
             usage: TreeUsage::new(),
-        };
-        self.by_attempt_id.insert(record.attempt_id.clone(), number);
-        self.by_deadline.insert((deadline, number), ());
-        self.running.insert(number, record);
+        });
         number
     }
 
     /// Removes a completed request and returns the slot time of its calls.
     pub fn remove(&mut self, number: u64) -> TreeUsage {
-        let Some(record) = self.running.remove(&number) else {
+        let Some(index) = self.index_of(number) else {
             return TreeUsage::new();
         };
-        self.by_deadline.remove(&(record.deadline, number));
+        let record = self.running.remove(index);
+        let position = self.deadline_position(record.deadline, number);
+        self.by_deadline.remove(position);
         self.by_attempt_id.remove(&record.attempt_id);
         record.usage
     }
@@ -74,22 +84,36 @@
         let split_id = attempt_id.rsplit_once(CALL_SEPARATOR);
         let by_id = split_id.and_then(|(parent_id, _)| self.by_attempt_id.get(parent_id).copied());
         let number = by_id.or_else(|| self.nearest_by_deadline(deadline))?;
-        Some((number, self.running.get(&number)?.origin))
+        Some((number, self.running[self.index_of(number)?].origin))
     }
 
     /// Adds the slot time of a call to the request that made it.
     pub fn add_usage(&mut self, number: u64, usage: &[ServiceUsage]) {
-        if let Some(record) = self.running.get_mut(&number) {
-            merge_usage(&mut record.usage, usage);
+        if let Some(index) = self.index_of(number) {
+            merge_usage(&mut self.running[index].usage, usage);
         }
     }
 
+    fn index_of(&self, number: u64) -> Option<usize> {
+        let found = self
+            .running
+            .binary_search_by_key(&number, |record| record.number);
+        found.ok()
+    }
+
+    /// Returns the position of the first deadline that is not before this one.
+    fn deadline_position(&self, deadline: BootTime, number: u64) -> usize {
+        self.by_deadline
+            .partition_point(|other| *other < (deadline, number))
+    }
+
     fn nearest_by_deadline(&self, deadline: BootTime) -> Option<u64> {
-        let after = self.by_deadline.range((deadline, 0)..).next();
-        let before = self.by_deadline.range(..(deadline, 0)).next_back();
-        let neighbours = [before, after].into_iter().flatten();
+        let (before, after) = self
+            .by_deadline
+            .split_at(self.deadline_position(deadline, 0));
+        let neighbours = [before.last(), after.first()].into_iter().flatten();
         neighbours
-            .map(|((neighbour, number), ())| (time_between(*neighbour, deadline), *number))
+            .map(|(neighbour, number)| (time_between(*neighbour, deadline), *number))
             .filter(|(difference, _)| *difference <= DEADLINE_TOLERANCE)
             .min_by_key(|(difference, _)| *difference)
             .map(|(_, number)| number)
--- a/src/mesh/executor/pool.rs
+++ b/src/mesh/executor/pool.rs
@@ -87,13 +87,14 @@
         if closes || connection.sender.is_closed() {
             return;
         }
+        let now = Instant::now();
         connection.reused = true;
-        connection.idle_since = Instant::now();
+        connection.idle_since = now;
         if let Some(limit) = keep_alive_timeout(headers) {
             connection.idle_timeout = limit.mul_f64(IDLE_TIMEOUT_FRACTION);
         }
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|connection| connection.idle_since.elapsed() < connection.idle_timeout);
+        idle.retain(|idle| now.duration_since(idle.idle_since) < idle.idle_timeout);
         idle.push(connection);
     }
 
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -18,6 +18,7 @@
 use super::super::link::LinkSender;
 use super::super::link::RefusalCause;
 use super::super::link::SubmitHead;
+use super::daemon_order::daemon_order;
 use super::report::DaemonReport;
 use super::report::DaemonStatus;
 use crate::clock::BootTime;
@@ -51,6 +52,8 @@
 #[derive(Debug)]
 pub struct Peer {
     pub address: SocketAddrV4,
+    /// Position in the order of daemons.
+    pub order: u64,
     failure_domain: RefCell<Rc<str>>,
     sender: RefCell<Option<LinkSender>>,
     incarnation: Cell<u64>,
@@ -77,6 +80,7 @@
     pub fn from_address(address: SocketAddrV4) -> Self {
         Self {
             address,
+            order: daemon_order(address),
             failure_domain: RefCell::new(Rc::from("")),
             sender: RefCell::new(None),
             incarnation: Cell::new(0),
@@ -96,6 +100,11 @@
         self.failure_domain.borrow().clone()
     }
 
+    /// Returns true if the daemon is in this failure domain.
+    pub fn is_in_domain(&self, failure_domain: &str) -> bool {
+        **self.failure_domain.borrow() == *failure_domain
+    }
+
     /// Sets a new link and asks on it for the outcomes of the calls that are still pending.
     ///
     /// Calls that are too old, or that were sent to an earlier incarnation of the daemon, end with
@@ -154,6 +163,11 @@
         }
     }
 
+    /// Returns true while there is a link.
+    pub fn is_linked(&self) -> bool {
+        self.sender.borrow().is_some()
+    }
+
     /// Returns the sender of the link, while there is one.
     pub fn sender(&self) -> Option<LinkSender> {
         self.sender.borrow().clone()
--- a/src/mesh/link/header_codec.rs
+++ b/src/mesh/link/header_codec.rs
@@ -8,6 +8,7 @@
 use hyper::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio_util::bytes::BytesMut;
 
 use super::super::header_names::HeaderNames;
 
@@ -31,6 +32,9 @@
 ];
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Headers that a receiver adds to a message.
+const ADDED_HEADERS: usize = 2;
+
 /// Name of a header on a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HeaderKey<'a> {
@@ -89,13 +93,21 @@
     /// Builds a header map; pairs that are not valid headers are skipped, as no endpoint would
     /// accept them.
     pub fn decode(&self, pairs: &HeaderPairs<'_>) -> HeaderMap {
-        let mut headers = HeaderMap::with_capacity(pairs.len() + 4);
+        let mut headers = HeaderMap::with_capacity(pairs.len() + ADDED_HEADERS);
+        // All values share one allocation.
+        let value_bytes = pairs.iter().map(|(_, value)| value.len()).sum();
+        let mut values = BytesMut::with_capacity(value_bytes);
+        for (_, value) in pairs {
+            values.extend_from_slice(value);
+        }
+        let mut values = values.freeze();
         for (key, value) in pairs {
+            let value = values.split_to(value.len());
             let name = match key {
                 HeaderKey::Known(number) => self.names.get(usize::from(*number)).cloned(),
                 HeaderKey::Name(text) => HeaderName::from_bytes(text.as_bytes()).ok(),
             };
-            if let Some((name, value)) = name.zip(HeaderValue::from_bytes(value).ok()) {
+            if let Some((name, value)) = name.zip(HeaderValue::from_maybe_shared(value).ok()) {
                 headers.append(name, value);
             }
         }
--- a/src/mesh/link/segments.rs
+++ b/src/mesh/link/segments.rs
@@ -1,6 +1,6 @@
 //! Splits large messages into segments, so that small ones do not wait behind them.
 //!
-//! A packet begins with its kind. A small message is one packet. The segments of a large message
+//! Each packet comes after its length. It begins with its kind. A small message is one packet. The segments of a large message
 //! carry its number, and segments of other messages may come between them.
 
 use std::collections::HashMap;
@@ -23,6 +23,8 @@
 const KIND_WHOLE: u8 = 0;
 const KIND_SEGMENT: u8 = 1;
 const KIND_LAST_SEGMENT: u8 = 2;
+/// Length of a packet, which comes before it on a connection.
+const LENGTH_BYTES: usize = 4;
 /// Kind and message number.
 const SEGMENT_HEADER_BYTES: usize = 5;
 
@@ -37,36 +39,44 @@
 }
 
 impl SegmentQueue {
-    /// Returns the packet of a small message, or queues a large one and returns none.
-    pub fn push(&mut self, message: Bytes) -> Option<Bytes> {
+    /// Appends the packet of a small message, with its length before it, to `output` and returns true, or
+    /// queues a large message and returns false.
+    pub fn push(&mut self, message: Bytes, output: &mut BytesMut) -> bool {
         if message.len() <= SEGMENT_BYTES {
-            let mut packet = BytesMut::with_capacity(1 + message.len());
-            packet.put_u8(KIND_WHOLE);
-            packet.extend_from_slice(&message);
-            return Some(packet.freeze());
+            let packet_bytes = 1 + message.len();
+            output.reserve(LENGTH_BYTES + packet_bytes);
+            output.put_u32(packet_bytes as u32);
+            output.put_u8(KIND_WHOLE);
+            output.extend_from_slice(&message);
+            return true;
         }
         self.next_number = self.next_number.wrapping_add(1);
         self.sending.push_back((self.next_number, message));
-        None
+        false
     }
 
-    /// Returns the packet with the next segment, or none if no large message is being sent.
-    pub fn next_segment(&mut self) -> Option<Bytes> {
-        let (number, mut message) = self.sending.pop_front()?;
+    /// Appends the packet of the next segment, with its length before it, to `output`; returns false if no
+    /// large message is being sent.
+    pub fn next_segment(&mut self, output: &mut BytesMut) -> bool {
+        let Some((number, mut message)) = self.sending.pop_front() else {
+            return false;
+        };
         let segment = message.split_to(SEGMENT_BYTES.min(message.len()));
         let kind = if message.is_empty() {
             KIND_LAST_SEGMENT
         } else {
             KIND_SEGMENT
         };
-        let mut packet = BytesMut::with_capacity(SEGMENT_HEADER_BYTES + segment.len());
-        packet.put_u8(kind);
-        packet.put_u32(number);
-        packet.extend_from_slice(&segment);
+        let packet_bytes = SEGMENT_HEADER_BYTES + segment.len();
+        output.reserve(LENGTH_BYTES + packet_bytes);
+        output.put_u32(packet_bytes as u32);
+        output.put_u8(kind);
+        output.put_u32(number);
+        output.extend_from_slice(&segment);
         if !message.is_empty() {
             self.sending.push_back((number, message));
         }
-        Some(packet.freeze())
+        true
     }
 }
 
--- a/src/mesh/link/stream.rs
+++ b/src/mesh/link/stream.rs
@@ -4,15 +4,15 @@
 use std::io::Result;
 use std::rc::Rc;
 
-use futures_util::SinkExt;
 use futures_util::StreamExt;
 use hyper::body::Bytes;
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio_util::bytes::BytesMut;
 use tokio_util::codec::FramedRead;
-use tokio_util::codec::FramedWrite;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::super::body_budget::BodyBudget;
@@ -23,8 +23,15 @@
 use super::segments::SegmentQueue;
 use super::segments::SegmentTable;
 use super::segments::MAX_PACKET_BYTES;
+use super::segments::SEGMENT_BYTES;
 use super::traffic::LinkTraffic;
 
+/// Initial size of a link's read buffer: most messages fit, a longer one enlarges it, and a daemon has
+/// two links for each other one.
+const READ_BUFFER_BYTES: usize = 1024;
+/// Capacity of a write buffer up to which an idle link keeps it.
+const MAX_IDLE_BUFFER_BYTES: usize = 1024;
+
 /// Reads the messages that the peer sends.
 #[derive(Debug)]
 pub struct LinkReader {
@@ -122,12 +129,11 @@
         .new_codec();
     let (input, output) = stream.into_split();
     let (queue, frames) = mpsc::unbounded_channel();
-    let writer = FramedWrite::new(output, codec.clone());
     let unsent = Rc::new(Cell::new(0));
     let counter = unsent.clone();
     tokio::task::spawn_local(async move {
         // The reader detects the end of the connection too, so a write error is ignored here.
-        drop(write_frames(writer, frames, &counter).await);
+        drop(write_frames(output, frames, &counter).await);
     });
     let sender = LinkSender {
         queue,
@@ -136,37 +142,42 @@
         crosses_domains: Rc::new(Cell::new(true)),
     };
     let reader = LinkReader {
-        packets: FramedRead::new(input, codec),
+        packets: FramedRead::with_capacity(input, codec, READ_BUFFER_BYTES),
         segments: SegmentTable::from_budget(budget.clone()),
     };
     (reader, sender)
 }
 
 async fn write_frames(
-    mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    mut output: OwnedWriteHalf,
     mut frames: mpsc::UnboundedReceiver<Bytes>,
     unsent: &Cell<usize>,
 ) -> Result<()> {
     let mut segments = SegmentQueue::default();
+    let mut buffer = BytesMut::new();
     while let Some(first) = frames.recv().await {
         let mut next = Some(first);
         let mut taken = 0;
         loop {
-            // Other tasks may have queued more messages by now; they are sent with one flush.
+            // Other tasks may have queued more messages by now; they are sent with one write.
             while let Some(message) = next.take().or_else(|| frames.try_recv().ok()) {
                 taken += 1;
-                if let Some(packet) = segments.push(message) {
-                    writer.feed(packet).await?;
+                segments.push(message, &mut buffer);
+                if buffer.len() >= SEGMENT_BYTES {
+                    output.write_all_buf(&mut buffer).await?;
                 }
             }
             // Small messages that are queued while a segment is written go before the next one.
-            let Some(packet) = segments.next_segment() else {
+            if !segments.next_segment(&mut buffer) {
                 break;
-            };
-            writer.send(packet).await?;
+            }
+            output.write_all_buf(&mut buffer).await?;
         }
-        SinkExt::<Bytes>::flush(&mut writer).await?;
+        output.write_all_buf(&mut buffer).await?;
         unsent.set(unsent.get() - taken);
+        if buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+            buffer = BytesMut::new();
+        }
     }
-    SinkExt::<Bytes>::close(&mut writer).await
+    output.shutdown().await
 }
--- a/src/mesh/state/configuration.rs
+++ b/src/mesh/state/configuration.rs
@@ -119,7 +119,7 @@
         let starting = self.now() < READER_SETTLING_TIME;
         let peers = self.peers();
         let peers = peers.iter().filter_map(|peer| {
-            let order = daemon_order(peer.address);
+            let order = peer.order;
             if starting {
                 return Some(PeerReader { order, reads: true });
             }
@@ -155,8 +155,8 @@
     /// Returns the delay before the next call to the store after `failures` failed ones.
     pub fn store_retry_delay(&self, failures: u32) -> Duration {
         let peers = self.peers();
-        let linked = peers.iter().filter(|peer| peer.sender().is_some());
-        let orders = linked.map(|peer| daemon_order(peer.address));
+        let linked = peers.iter().filter(|peer| peer.is_linked());
+        let orders = linked.map(|peer| peer.order);
         let own_order = daemon_order(self.settings().link_address);
         let jitter = self.rng.borrow_mut().random_range(0.0..1.0);
         retry_delay(own_order, orders, failures, jitter)
--- a/src/mesh/state/fleet.rs
+++ b/src/mesh/state/fleet.rs
@@ -68,10 +68,7 @@
     /// Returns the number of linked daemons, this one included.
     pub fn linked_daemons(&self) -> usize {
         let peers = self.peers.borrow();
-        1 + peers
-            .values()
-            .filter(|peer| peer.sender().is_some())
-            .count()
+        1 + peers.values().filter(|peer| peer.is_linked()).count()
     }
 
     /// Spends one retry to a service and returns true if this daemon's part of the retry budget had
@@ -141,6 +138,6 @@
     pub fn linked_peer(&self, address: SocketAddrV4) -> Option<Rc<Peer>> {
         let peers = self.peers.borrow();
         let peer = peers.get(&address)?;
-        peer.sender().is_some().then(|| peer.clone())
+        peer.is_linked().then(|| peer.clone())
     }
 }
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -40,6 +40,7 @@
 use crate::decisions::demand::DemandView;
 use crate::decisions::demand::RelayTable;
 use crate::decisions::demand::ServiceLoad;
+use crate::decisions::placement::ExecutorLoad;
 use crate::observe::DaemonMetrics;
 use crate::observe::LogEvent;
 
@@ -229,12 +230,26 @@
 
     /// Returns the state of the endpoint on this VM, while it accepts new calls.
     pub fn endpoint_report(&self) -> Option<EndpointReport> {
-        let (announcement, cold) = self.executor.usable_endpoint()?;
-        Some(EndpointReport {
-            service: announcement.service,
-            slots: self.executor.paced_slots(announcement.slots),
-            cold: !cold.is_zero(),
-        })
+        self.executor
+            .with_usable_endpoint(|announcement, cold| EndpointReport {
+                service: announcement.service.clone(),
+                slots: self.executor.paced_slots(announcement.slots),
+                cold: !cold.is_zero(),
+            })
+    }
+
+    /// Returns the load of the endpoint on this VM, while it accepts new calls to `service`.
+    pub fn executor_load(&self, service: &str) -> Option<ExecutorLoad> {
+        let load = self.executor.with_usable_endpoint(|announcement, cold| {
+            (announcement.service == service).then(|| ExecutorLoad {
+                in_hand: self.executor.in_hand(),
+                slots: self.executor.paced_slots(announcement.slots),
+                cold: !cold.is_zero(),
+                same_domain: true,
+                silent: false,
+            })
+        });
+        load.flatten()
     }
 
     /// Returns the demand and load at this daemon.
--- a/tests/mesh/header_codec.rs
+++ b/tests/mesh/header_codec.rs
@@ -56,3 +56,18 @@
     ];
     assert!(codec.decode(&pairs).is_empty());
 }
+
+#[test]
+fn value_after_a_skipped_or_empty_one_is_its_own() {
+    let codec = HeaderCodec::from_names(&plain_header_names());
+    let pairs = vec![
+        (HeaderKey::Name("not a name"), &b"skipped"[..]),
+        (HeaderKey::Name("first"), &b"bad\nvalue"[..]),
+        (HeaderKey::Name("second"), &b""[..]),
+        (HeaderKey::Name("third"), &b"kept"[..]),
+        (HeaderKey::Name("third"), &b"kept too"[..]),
+    ];
+    let mut expected = headers(&[("second", ""), ("third", "kept")]);
+    expected.append("third", HeaderValue::from_static("kept too"));
+    assert_eq!(codec.decode(&pairs), expected);
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod announcement;
 mod bodies;
+mod call_futures;
 mod calls;
 mod classify;
 mod config_fetch;
--- a/tests/mesh/parents.rs
+++ b/tests/mesh/parents.rs
@@ -51,3 +51,42 @@
     assert_eq!(total.as_slice(), [usage(5, 42), usage(6, 7)]);
     assert!(table.find(DeadlineClock::start().now(), "aa.x").is_none());
 }
+
+/// Pattern: an endpoint with many slots, whose requests end in another order than they began.
+#[test]
+fn requests_that_end_in_any_order_leave_the_others_in_place() {
+    const REQUESTS: u64 = 200;
+    let start = DeadlineClock::start().now();
+    // The deadlines lie further apart than the tolerance and in another order than the requests.
+    let deadline = |index: u64| start + Duration::from_millis(1000 + index * 77 % REQUESTS * 100);
+    let mut table = ParentTable::default();
+    let numbers: Vec<u64> = (0..REQUESTS)
+        .map(|index| table.add(deadline(index), &format!("id{index}"), origin(index as u32)))
+        .collect();
+    let route = |found: Option<(u64, CallOrigin)>| found.map(|(_, origin)| origin.class.route);
+    let mut running: Vec<u64> = (0..REQUESTS).collect();
+    for step in 0..REQUESTS {
+        let ended = running.remove((step * 31 % (REQUESTS - step)) as usize);
+        table.add_usage(
+            numbers[ended as usize],
+            &[ServiceUsage {
+                service: 1,
+                slot_us: ended as u32,
+            }],
+        );
+        let usage = table.remove(numbers[ended as usize]);
+        assert_eq!(usage[0].slot_us, ended as u32);
+        assert!(table.remove(numbers[ended as usize]).is_empty());
+        assert_eq!(route(table.find(deadline(ended), "unknown")), None);
+        for index in &running {
+            let expected = Some(*index as u32);
+            assert_eq!(
+                route(table.find(deadline(*index), "unknown")),
+                expected,
+                "by deadline"
+            );
+            let call_id = format!("id{index}.1");
+            assert_eq!(route(table.find(start, &call_id)), expected, "by id");
+        }
+    }
+}
