--- a/src/decisions/placement/balance.rs
+++ b/src/decisions/placement/balance.rs
@@ -35,6 +35,8 @@
     /// Calls that the endpoint runs at once.
     pub slots: u32,
     pub cold: bool,
+    /// True if the endpoint is cold and takes few requests a second, which its slots show.
+    pub rated: bool,
     pub same_domain: bool,
     /// True if its daemon has not answered for longer than a link in order takes.
     pub silent: bool,
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 
 use rand::rngs::SmallRng;
@@ -58,8 +59,12 @@
     limits: DispatchLimits,
 ) -> DispatchOutcome {
     let mut tried: SmallVec<[SocketAddrV4; 4]> = SmallVec::new();
-    let attempts = try_executors(state, request, attempt_id, limits, &mut tried);
-    let result = state.clock.timeout_at(limits.until, attempts).await;
+    let result = {
+        let attempts = pin!(try_executors(
+            state, request, attempt_id, limits, &mut tried
+        ));
+        state.clock.timeout_at(limits.until, attempts).await
+    };
     let result = result.unwrap_or(Err(ResultCode::DeadlinePassed));
     DispatchOutcome {
         result,
@@ -187,48 +192,35 @@
     service: &str,
     tried: &[SocketAddrV4],
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
-    let own_address = state.settings().link_address;
-    let own_domain = state.settings().failure_domain.clone();
-    let own_endpoint = state
-        .endpoint_report()
-        .filter(|endpoint| endpoint.service == service && !state.is_stopping())
-        .filter(|_| !tried.contains(&own_address));
+    let settings = state.settings();
+    let own_address = settings.link_address;
+    let may_run_here = !state.is_stopping() && !tried.contains(&own_address);
+    let own_load = state.executor_load(service).filter(|_| may_run_here);
     state.with_executors(service, |peers| {
         let mut loads: SmallVec<[ExecutorLoad; 16]> = SmallVec::new();
         // The peer of each entry in `loads`, or none for this daemon.
         let mut candidates: SmallVec<[Option<&Rc<Peer>>; 16]> = SmallVec::new();
-        let mut rated: SmallVec<[bool; 16]> = SmallVec::new();
         for peer in peers.iter().filter(|peer| !tried.contains(&peer.address)) {
             let load = peer.with_report(|report| {
-                report.endpoint.as_ref().map(|endpoint| {
-                    let load = ExecutorLoad {
-                        in_hand: peer.load(),
-                        slots: endpoint.slots,
-                        cold: endpoint.cold,
-                        same_domain: *peer.failure_domain() == *own_domain,
-                        silent: peer.is_silent(),
-                    };
-                    (load, endpoint.rated)
+                report.endpoint.as_ref().map(|endpoint| ExecutorLoad {
+                    in_hand: peer.load(),
+                    slots: endpoint.slots,
+                    cold: endpoint.cold,
+                    rated: endpoint.rated,
+                    same_domain: peer.is_in_domain(&settings.failure_domain),
+                    silent: peer.is_silent(),
                 })
             });
-            if let Some(Some((load, is_rated))) = load {
+            if let Some(Some(load)) = load {
                 loads.push(load);
-                rated.push(is_rated);
                 candidates.push(Some(peer));
             }
         }
-        if let Some(endpoint) = own_endpoint {
-            loads.push(ExecutorLoad {
-                in_hand: state.executor.in_hand(),
-                slots: endpoint.slots,
-                cold: endpoint.cold,
-                same_domain: true,
-                silent: false,
-            });
-            rated.push(endpoint.rated);
+        if let Some(load) = own_load {
+            loads.push(load);
             candidates.push(None);
         }
-        let index = pick_index(&loads, &rated, &mut state.rng.borrow_mut())?;
+        let index = pick_index(&loads, &mut state.rng.borrow_mut())?;
         Some(match candidates[index] {
             Some(peer) => (peer.address, ExecutorTarget::Remote(peer.clone())),
             None => (own_address, ExecutorTarget::Local),
@@ -238,14 +230,14 @@
 
 /// Picks an executor among those that take part in the choice for this call: cold endpoints only do so in
 /// proportion to what they take. If none takes part, all do.
-fn pick_index(loads: &[ExecutorLoad], rated: &[bool], rng: &mut SmallRng) -> Option<usize> {
-    if !rated.contains(&true) {
+fn pick_index(loads: &[ExecutorLoad], rng: &mut SmallRng) -> Option<usize> {
+    if !loads.iter().any(|load| load.rated) {
         return pick_executor(loads, rng);
     }
     let in_hand: u32 = loads.iter().map(|load| load.in_hand).sum();
     let mut drawn: SmallVec<[usize; 16]> = SmallVec::new();
     for (index, load) in loads.iter().enumerate() {
-        if !rated[index] || joins_draw(load.slots, in_hand, rng) {
+        if !load.rated || joins_draw(load.slots, in_hand, rng) {
             drawn.push(index);
         }
     }
--- a/src/mesh/executor/coldness.rs
+++ b/src/mesh/executor/coldness.rs
@@ -108,7 +108,7 @@
     /// Returns the endpoint that a status check is to ask whether it is cold, and the time of the question.
     /// There is one check for each suspicion; after that, the next announcements tell.
     pub fn take_cold_check(&self) -> Option<(EndpointAnnouncement, Duration)> {
-        let (announcement, _) = self.usable_endpoint()?;
+        let announcement = self.with_usable_endpoint(|announcement, _| announcement.clone())?;
         self.cold_limit()?;
         let is_due = self.cold.check_due.replace(false);
         let is_suspect = self.cold.tracker.borrow().is_suspect();
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -42,6 +42,7 @@
 use crate::decisions::demand::RelayTable;
 use crate::decisions::demand::ServiceLoad;
 use crate::decisions::evacuation::EvacuationSet;
+use crate::decisions::placement::ExecutorLoad;
 use crate::observe::DaemonMetrics;
 use crate::observe::LogEvent;
 
@@ -236,14 +237,30 @@
 
     /// Returns the state of the endpoint on this VM, while it accepts new calls.
     pub fn endpoint_report(&self) -> Option<EndpointReport> {
-        let (announcement, cold) = self.executor.usable_endpoint()?;
         let is_rated = self.executor.cold_rate().is_some();
-        Some(EndpointReport {
-            service: announcement.service,
-            slots: self.executor.paced_slots(announcement.slots),
-            cold: !cold.is_zero() && !is_rated,
-            rated: is_rated,
-        })
+        self.executor
+            .with_usable_endpoint(|announcement, cold| EndpointReport {
+                service: announcement.service.clone(),
+                slots: self.executor.paced_slots(announcement.slots),
+                cold: !cold.is_zero() && !is_rated,
+                rated: is_rated,
+            })
+    }
+
+    /// Returns the load of the endpoint on this VM, while it accepts new calls to `service`.
+    pub fn executor_load(&self, service: &str) -> Option<ExecutorLoad> {
+        let is_rated = self.executor.cold_rate().is_some();
+        let load = self.executor.with_usable_endpoint(|announcement, cold| {
+            (announcement.service == service).then(|| ExecutorLoad {
+                in_hand: self.executor.in_hand(),
+                slots: self.executor.paced_slots(announcement.slots),
+                cold: !cold.is_zero() && !is_rated,
+                rated: is_rated,
+                same_domain: true,
+                silent: false,
+            })
+        });
+        load.flatten()
     }
 
     /// Returns the demand and load at this daemon.
--- a/tests/mesh/evacuation.rs
+++ b/tests/mesh/evacuation.rs
@@ -125,6 +125,7 @@
         endpoint: Some(EndpointReport {
             service: "archive".to_owned(),
             slots: 4,
+            rated: false,
             cold: false,
         }),
         ..DaemonReport::default()
--- a/tests/mesh/placement.rs
+++ b/tests/mesh/placement.rs
@@ -10,6 +10,7 @@
     ExecutorLoad {
         in_hand,
         slots: 17,
+        rated: false,
         cold: false,
         same_domain,
         silent: false,
