Set endpoints aside that fail far more than their service

Cause: executors are picked by occupancy alone. An endpoint that sheds, resets or errors part of its calls at once holds few calls, looks idle and draws more, while its status check is good.

Change: the daemon beside an endpoint judges the outcomes of its calls, without failures of calls below, and reports a coarse share of failures. Entries compare the endpoints of a service, set outliers aside up to half of the slots, probe them with a few idempotent calls and take them back slowly. The share counts in each choice, also below the threshold.

Measured on a deployment: not yet.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -14,6 +14,7 @@
 pub mod keys;
 #[cfg(feature = "product")]
 pub mod membership;
+pub mod outliers;
 #[cfg(feature = "product")]
 pub mod ownership;
 pub mod pacing;
--- a/src/decisions/placement/mod.rs
+++ b/src/decisions/placement/mod.rs
@@ -9,6 +9,7 @@
 
 pub use balance::pick_executor;
 pub use balance::usable_slots;
+pub use balance::CallTraits;
 pub use balance::ExecutorLoad;
 pub use choice::choose_endpoint;
 pub use choice::ChoiceReason;
--- a/src/mesh/control/allocation.rs
+++ b/src/mesh/control/allocation.rs
@@ -39,6 +39,7 @@
                 last_allocation = now;
                 allocate_shares(&state, elapsed);
             }
+            state.update_outliers();
         });
         last_exchange = now;
         // An endpoint whose announcements stopped is withdrawn without waiting for a ping.
--- a/src/mesh/control/metrics.rs
+++ b/src/mesh/control/metrics.rs
@@ -69,6 +69,11 @@
             ("oldest_report_age_seconds", oldest_report_age),
             ("demand_age_seconds", demand_age),
             ("demand_relay", f64::from(u8::from(is_relay))),
+            (
+                "endpoint_failure_share",
+                f64::from(executor.outcomes.report().percent) / 100.0,
+            ),
+            ("set_aside_calls_total", self.outliers.calls() as f64),
             ("body_bytes_held", self.body_budget.held() as f64),
             ("body_bytes_peak", self.body_budget.peak() as f64),
             ("control_seconds_total", self.control_time().as_secs_f64()),
@@ -121,6 +126,8 @@
             write_sample(text, "service_endpoints", &labels, f64::from(endpoints));
             write_sample(text, "service_slots", &labels, f64::from(slots));
             write_sample(text, "service_in_hand", &labels, f64::from(in_hand));
+            let set_aside = self.outliers.set_aside_count(&service) as f64;
+            write_sample(text, "service_set_aside", &labels, set_aside);
             if let Some(capacity) = self.admission.borrow().planned_capacity(&service) {
                 write_sample(text, "service_credit", &labels, capacity);
             }
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootTime;
 use crate::codes::ResultCode;
 use crate::decisions::placement::pick_executor;
+use crate::decisions::placement::CallTraits;
 use crate::decisions::placement::ExecutorLoad;
 use crate::observe::LogEvent;
 
@@ -76,9 +77,9 @@
     let mut arrivals = 0;
     let mut code = ResultCode::NoEndpoint;
     while tried.len() < MAX_EXECUTORS {
-        let chosen = match choose_executor(state, &request.service, tried) {
+        let chosen = match choose_executor(state, request, tried) {
             None if tried.is_empty() => {
-                wait_for_executor(state, &request.service, limits.first_executor_by).await
+                wait_for_executor(state, request, limits.first_executor_by).await
             }
             chosen => chosen,
         };
@@ -167,12 +168,12 @@
 /// replaced at once.
 async fn wait_for_executor(
     state: &MeshState,
-    service: &str,
+    request: &CallRequest,
     until: BootTime,
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
     loop {
         let changed = state.executors_changed.notified();
-        if let Some(chosen) = choose_executor(state, service, &[]) {
+        if let Some(chosen) = choose_executor(state, request, &[]) {
             return Some(chosen);
         }
         state.clock.timeout_at(until, changed).await?;
@@ -181,9 +182,14 @@
 
 fn choose_executor(
     state: &MeshState,
-    service: &str,
+    request: &CallRequest,
     tried: &[SocketAddrV4],
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
+    let service = &*request.service;
+    let traits = CallTraits {
+        idempotent: request.idempotent,
+        repeated: !tried.is_empty(),
+    };
     let own_address = state.settings().link_address;
     let own_domain = state.settings().failure_domain.clone();
     let own_endpoint = state
@@ -202,6 +208,7 @@
                     cold: endpoint.cold,
                     same_domain: *peer.failure_domain() == *own_domain,
                     silent: peer.is_silent(),
+                    outlier: peer.outlier_mark.get(),
                 })
             });
             if let Some(Some(load)) = load {
@@ -216,10 +223,14 @@
                 cold: endpoint.cold,
                 same_domain: true,
                 silent: false,
+                outlier: state.outliers.own_mark(),
             });
             candidates.push(None);
         }
-        let index = pick_executor(&loads, &mut *state.rng.borrow_mut())?;
+        let index = pick_executor(&loads, traits, &mut *state.rng.borrow_mut())?;
+        if loads[index].outlier.set_aside {
+            state.outliers.count_call();
+        }
         Some(match candidates[index] {
             Some(peer) => (peer.address, ExecutorTarget::Remote(peer.clone())),
             None => (own_address, ExecutorTarget::Local),
--- a/src/mesh/entry/mod.rs
+++ b/src/mesh/entry/mod.rs
@@ -5,7 +5,9 @@
 mod admit;
 mod dispatch;
 mod headers;
+mod outliers;
 mod serve;
 
 pub use admission::EntryAdmission;
+pub use outliers::OutlierTable;
 pub use serve::serve_callers;
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -25,6 +25,7 @@
 use super::super::body_reader::BodyError;
 use super::super::executor::CallRequest;
 use super::super::executor::EndpointResponse;
+use super::super::fleet::hash_name;
 use super::super::state::MeshState;
 use super::admit::admit;
 use super::admit::retry_after;
@@ -171,6 +172,8 @@
     };
     let limit = routes.config().limits.body_bytes;
     drop(routes);
+    let parent = admitted.parent;
+    let nested_call = parent.map(|parent| state.executor.begin_nested_call(parent));
     let read = read_body(body, limit, &state.body_budget);
     let body = match state.clock.timeout_at(admitted.deadline, read).await {
         Some(Ok(body)) => body,
@@ -211,10 +214,15 @@
         service: admitted.service.clone(),
         idempotent: admitted.idempotent,
         origin: admitted.origin,
+        caller_domain: hash_name(&settings.failure_domain),
         deadline: admitted.deadline,
         queue_timeout: admitted.queue_timeout,
     };
-    dispatch_call(state, &mut call, &admitted, arrived).await
+    let response = dispatch_call(state, &mut call, &admitted, arrived).await;
+    if let Some(nested_call) = nested_call {
+        nested_call.close(response.status().is_success());
+    }
+    response
 }
 
 /// Dispatches a call and builds the caller's response from its outcome.
--- a/src/mesh/executor/call.rs
+++ b/src/mesh/executor/call.rs
@@ -24,6 +24,8 @@
     pub service: Rc<str>,
     pub idempotent: bool,
     pub origin: CallOrigin,
+    /// Hash of the name of the failure domain in which the caller is.
+    pub caller_domain: u32,
     pub deadline: BootTime,
     /// Maximum time that the call waits for a slot.
     pub queue_timeout: Duration,
--- a/src/mesh/executor/classify.rs
+++ b/src/mesh/executor/classify.rs
@@ -5,6 +5,7 @@
 
 use super::super::header_names::HeaderNames;
 use super::super::link::RefusalCause;
+use super::call::CallOutcome;
 
 /// Class of a response, which decides the outcome of the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,3 +56,12 @@
     }
     ResponseClass::Valid
 }
+
+/// Returns the outcome of a response with a truncated body: a refusal is still valid, any other
+/// response is not.
+pub fn refused_or_unknown(class: ResponseClass) -> CallOutcome {
+    match class {
+        ResponseClass::Refused(cause) => CallOutcome::Refused(cause),
+        _ => CallOutcome::Unknown,
+    }
+}
--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -24,9 +24,13 @@
 use super::call::CallRequest;
 use super::call::EndpointResponse;
 use super::classify::classify_response;
+use super::classify::refused_or_unknown;
 use super::classify::ResponseClass;
 use super::limits::EndpointLimits;
+use super::outcomes::CallProgress;
+use super::outcomes::OutcomeRecorder;
 use super::parents::merge_usage;
+use super::parents::NestedCall;
 use super::parents::ParentGuard;
 use super::parents::ParentTable;
 use super::parents::TreeUsage;
@@ -71,6 +75,8 @@
     slots: Rc<SlotQueue>,
     pool: ConnectionPool,
     parents: RefCell<ParentTable>,
+    /// Recent outcomes of the calls at the endpoint.
+    pub outcomes: OutcomeRecorder,
     stopping: Cell<bool>,
     body_budget: BodyBudget,
 }
@@ -93,6 +99,7 @@
             slots: SlotQueue::new(),
             pool: ConnectionPool::default(),
             parents: RefCell::new(ParentTable::default()),
+            outcomes: OutcomeRecorder::start(),
             stopping: Cell::new(false),
             body_budget,
         }
@@ -112,6 +119,7 @@
                 self.pool.clear();
                 if change == EndpointChange::Started {
                     self.slots.set_rate(None);
+                    self.outcomes.clear();
                 }
                 self.slots.set_limit(usable_slots(slots));
             }
@@ -190,6 +198,11 @@
         self.parents.borrow().find(deadline, attempt_id)
     }
 
+    /// Records that a running request has made a call, which ends when the result is closed or dropped.
+    pub fn begin_nested_call(&self, parent: u64) -> NestedCall<'_> {
+        NestedCall::begin(&self.parents, parent)
+    }
+
     /// Adds the slot time of a nested call to the request that made it.
     pub fn add_usage(&self, parent: u64, usage: &TreeUsage) {
         self.parents.borrow_mut().add_usage(parent, usage);
@@ -211,7 +224,11 @@
             return CallOutcome::Refused(self.refusal_cause(&call.service));
         };
         let started = Instant::now();
-        let mut outcome = self.forward(call, forwarded).await;
+        let progress = CallProgress::from_flag(forwarded);
+        let guard = self.outcomes.watch(call.caller_domain, &progress);
+        let mut outcome = self.forward(call, &progress).await;
+        let by_deadline = !self.clock.remaining(call.deadline).is_zero();
+        guard.close(&outcome, by_deadline, self.slots.rate().is_some());
         let slot_time = started.elapsed();
         drop(permit);
         if forwarded.get() {
@@ -246,7 +263,7 @@
         );
     }
 
-    async fn forward(&self, call: &CallRequest, forwarded: &Cell<bool>) -> CallOutcome {
+    async fn forward(&self, call: &CallRequest, progress: &CallProgress<'_>) -> CallOutcome {
         // If the connection closed before it sent a byte of the call, retry once on a new one.
         for new_connection in [false, true] {
             let Some(announcement) = self.usable_endpoint_for(&call.service) else {
@@ -268,7 +285,7 @@
                 return CallOutcome::Refused(RefusalCause::EndpointGone);
             }
             if let Some(outcome) = self
-                .exchange(call, &announcement, connection, forwarded)
+                .exchange(call, &announcement, connection, progress)
                 .await
             {
                 return outcome;
@@ -283,21 +300,25 @@
         call: &CallRequest,
         announcement: &EndpointAnnouncement,
         mut connection: EndpointConnection,
-        forwarded: &Cell<bool>,
+        progress: &CallProgress<'_>,
     ) -> Option<CallOutcome> {
         let request = self.build_request(call, &announcement.id);
         let until = call.deadline + RESPONSE_GRACE;
-        forwarded.set(true);
-        let attempt_id = self.attempt_id(call);
-        let guard =
-            ParentGuard::from_request(&self.parents, call.deadline, attempt_id, call.origin);
+        progress.forwarded.set(true);
+        let guard = ParentGuard::from_request(
+            &self.parents,
+            call.deadline,
+            self.attempt_id(call),
+            call.origin,
+            &progress.failed_below,
+        );
         connection.allowance.set(MAX_HEAD_READ_BYTES);
         let sent = connection.sender.try_send_request(request);
         let response = match self.clock.timeout_at(until, sent).await {
             Some(Ok(response)) => response,
             Some(Err(mut error)) => {
                 if error.take_message().is_some() {
-                    forwarded.set(false);
+                    progress.forwarded.set(false);
                     return None;
                 }
                 self.log_unknown_outcome(call, &error.into_error().to_string());
@@ -472,12 +493,3 @@
         self.started.elapsed()
     }
 }
-
-/// Returns the outcome of a response with a truncated body: a refusal is still valid, any other
-/// response is not.
-fn refused_or_unknown(class: ResponseClass) -> CallOutcome {
-    match class {
-        ResponseClass::Refused(cause) => CallOutcome::Refused(cause),
-        _ => CallOutcome::Unknown,
-    }
-}
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -5,6 +5,7 @@
 //! the nearest deadline, because a call inherits its parent's deadline. The result is only used for
 //! admission, so a wrong match breaks no guarantee.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -31,6 +32,10 @@
     deadline: BootTime,
     attempt_id: Box<str>,
     usage: TreeUsage,
+    /// Number of its calls that have no outcome yet.
+    open_calls: u32,
+    /// True if one of its calls failed.
+    call_failed: bool,
 }
 
 /// Requests that the endpoint runs.
@@ -52,6 +57,8 @@
             deadline,
             attempt_id: attempt_id.into(),
             usage: TreeUsage::new(),
+            open_calls: 0,
+            call_failed: false,
         };
         self.by_attempt_id.insert(record.attempt_id.clone(), number);
         self.by_deadline.insert((deadline, number), ());
@@ -84,6 +91,28 @@
         }
     }
 
+    /// Records that a request has made a call.
+    pub fn begin_call(&mut self, number: u64) {
+        if let Some(record) = self.running.get_mut(&number) {
+            record.open_calls += 1;
+        }
+    }
+
+    /// Records that a call of a request has ended.
+    pub fn end_call(&mut self, number: u64, succeeded: bool) {
+        if let Some(record) = self.running.get_mut(&number) {
+            record.open_calls = record.open_calls.saturating_sub(1);
+            record.call_failed |= !succeeded;
+        }
+    }
+
+    /// Returns true if a call of a request failed or has no outcome yet, so that a failure of the
+    /// request may not be the endpoint's own.
+    pub fn failed_below(&self, number: u64) -> bool {
+        let record = self.running.get(&number);
+        record.is_some_and(|record| record.call_failed || record.open_calls > 0)
+    }
+
     fn nearest_by_deadline(&self, deadline: BootTime) -> Option<u64> {
         let after = self.by_deadline.range((deadline, 0)..).next();
         let before = self.by_deadline.range(..(deadline, 0)).next_back();
@@ -100,6 +129,8 @@
 pub struct ParentGuard<'a> {
     parents: &'a RefCell<ParentTable>,
     number: u64,
+    /// Set at the end if a call of the request failed or is open.
+    failed_below: &'a Cell<bool>,
 }
 
 impl<'a> ParentGuard<'a> {
@@ -109,20 +140,65 @@
         deadline: BootTime,
         attempt_id: &str,
         origin: CallOrigin,
+        failed_below: &'a Cell<bool>,
     ) -> Self {
         let number = parents.borrow_mut().add(deadline, attempt_id, origin);
-        Self { parents, number }
+        Self {
+            parents,
+            number,
+            failed_below,
+        }
     }
 
     /// Removes the request and returns the slot time of its nested calls.
     pub fn close(self) -> TreeUsage {
-        self.parents.borrow_mut().remove(self.number)
+        self.remove()
+    }
+
+    fn remove(&self) -> TreeUsage {
+        let mut parents = self.parents.borrow_mut();
+        if parents.failed_below(self.number) {
+            self.failed_below.set(true);
+        }
+        parents.remove(self.number)
     }
 }
 
 impl Drop for ParentGuard<'_> {
     fn drop(&mut self) {
-        self.parents.borrow_mut().remove(self.number);
+        self.remove();
+    }
+}
+
+/// Call that a running request has made. Unless it ends with a success, the request's failure is not
+/// the endpoint's own.
+pub struct NestedCall<'a> {
+    parents: &'a RefCell<ParentTable>,
+    parent: u64,
+    succeeded: bool,
+}
+
+impl<'a> NestedCall<'a> {
+    /// Records that the request with this number has made a call.
+    pub fn begin(parents: &'a RefCell<ParentTable>, parent: u64) -> Self {
+        parents.borrow_mut().begin_call(parent);
+        Self {
+            parents,
+            parent,
+            succeeded: false,
+        }
+    }
+
+    /// Records the outcome of the call.
+    pub fn close(mut self, succeeded: bool) {
+        self.succeeded = succeeded;
+    }
+}
+
+impl Drop for NestedCall<'_> {
+    fn drop(&mut self) {
+        let mut parents = self.parents.borrow_mut();
+        parents.end_call(self.parent, self.succeeded);
     }
 }
 
--- a/src/mesh/executor/serve.rs
+++ b/src/mesh/executor/serve.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::super::fleet::daemon_order;
+use super::super::fleet::hash_name;
 use super::super::link::configure_stream;
 use super::super::link::decode_frame;
 use super::super::link::encode_frame;
@@ -109,7 +110,9 @@
         }
         LinkFrame::Submit(head) => {
             let body = bytes.slice(body_offset..);
-            start_call(state, (incarnation, head.call), sender, &head, body);
+            let caller_domain = hash_name(&hello.failure_domain);
+            let id = (incarnation, head.call);
+            start_call(state, id, caller_domain, sender, &head, body);
         }
         LinkFrame::Cancel { call } => {
             let mut calls = state.calls.borrow_mut();
@@ -143,6 +146,7 @@
 fn start_call(
     state: &Rc<MeshState>,
     id: CallId,
+    caller_domain: u32,
     sender: &LinkSender,
     head: &SubmitHead<'_>,
     body: Bytes,
@@ -174,6 +178,7 @@
         service: Rc::from(head.service),
         idempotent: head.idempotent,
         origin: head.origin,
+        caller_domain,
         deadline: state.clock.now() + Duration::from_millis(u64::from(head.remaining_ms)),
         queue_timeout: Duration::from_millis(u64::from(head.queue_timeout_ms)),
     };
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -21,6 +21,7 @@
 use super::report::DaemonReport;
 use super::report::DaemonStatus;
 use crate::clock::BootTime;
+use crate::decisions::outliers::OutlierMark;
 
 /// Maximum age of a call that is resumed on a new link. The other daemon retains outcomes for
 /// longer.
@@ -62,6 +63,8 @@
     last_received: Cell<Option<Instant>>,
     /// Time of the oldest ping since which nothing was received.
     unanswered_ping: Cell<Option<Instant>>,
+    /// Standing of its endpoint among those of its service.
+    pub outlier_mark: Cell<OutlierMark>,
     /// Notified when the link should be pinged without waiting for the interval.
     pub ping_due: Notify,
 }
@@ -87,6 +90,7 @@
             sent_since_report: Cell::new(0),
             last_received: Cell::new(None),
             unanswered_ping: Cell::new(None),
+            outlier_mark: Cell::new(OutlierMark::default()),
             ping_due: Notify::new(),
         }
     }
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decisions::outliers::FailureReport;
+
 /// A daemon's state; see `docs/design/platform.md`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DaemonReport {
@@ -22,6 +24,8 @@
     pub slots: u32,
     /// True while the endpoint is slow after its start.
     pub cold: bool,
+    /// Share of its recent calls that the endpoint failed, in steps.
+    pub failures: FailureReport,
 }
 
 impl DaemonReport {
--- a/src/mesh/state/fleet.rs
+++ b/src/mesh/state/fleet.rs
@@ -89,6 +89,13 @@
         read(index.get(service).map_or(&[], |peers| peers.as_slice()))
     }
 
+    /// Runs `visit` on each service and the peers whose endpoints serve it and accept new calls.
+    pub fn visit_services(&self, mut visit: impl FnMut(&str, &[Rc<Peer>])) {
+        for (service, peers) in self.by_service.borrow().iter() {
+            visit(service, peers);
+        }
+    }
+
     /// Rebuilds the index of peers by service.
     pub fn rebuild_service_index(&self) {
         let mut index: HashMap<String, Vec<Rc<Peer>>> = HashMap::new();
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -19,6 +19,7 @@
 
 use super::body_budget::BodyBudget;
 use super::entry::EntryAdmission;
+use super::entry::OutlierTable;
 use super::executor::CallTable;
 use super::executor::EndpointExecutor;
 use super::fleet::hash_name;
@@ -81,6 +82,8 @@
     subscribers: RefCell<Vec<LinkSender>>,
     /// Report that was last sent to all subscribers.
     last_report: RefCell<DaemonReport>,
+    /// Endpoints that fail far more calls than the others of their service.
+    pub outliers: OutlierTable,
     /// Notified when an executor may have become available.
     pub executors_changed: Notify,
     /// Demand at the other daemons, as the relays of the failure domain sent it.
@@ -142,6 +145,7 @@
             by_service: RefCell::new(HashMap::new()),
             subscribers: RefCell::new(Vec::new()),
             last_report: RefCell::new(DaemonReport::default()),
+            outliers: OutlierTable::default(),
             executors_changed: Notify::new(),
             demand_view: RefCell::new(DemandView::default()),
             relay_table: RefCell::new(RelayTable::default()),
@@ -234,6 +238,7 @@
             service: announcement.service,
             slots: self.executor.paced_slots(announcement.slots),
             cold: !cold.is_zero(),
+            failures: self.executor.outcomes.report(),
         })
     }
 
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -36,6 +36,9 @@
     EndpointLimited = 1103, "The endpoint on this VM named or withdrew a limit of requests per second.";
     EndpointLeaving = 1104, "The endpoint on this VM said in a response that it leaves.";
     EndpointChecked = 1105, "The endpoint on this VM, which is older than the daemon, was asked whether it leaves.";
+    FailureShareChanged = 1140, "The reported share of failures of the endpoint on this VM changed.";
+    EndpointSetAside = 1141, "An endpoint that fails far more calls than the others of its service was set aside.";
+    EndpointTakenBack = 1142, "An endpoint that was set aside gets calls again.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod documents;
 mod keys;
 mod membership;
+mod outliers;
 mod ownership;
 mod placement;
 mod rates;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod header_codec;
 mod limits;
 mod metrics;
+mod outcomes;
 mod pacing;
 mod parents;
 mod peers;
--- a/tests/mesh/metrics.rs
+++ b/tests/mesh/metrics.rs
@@ -16,6 +16,8 @@
         "store_reader",
         "endpoint_limit",
         "endpoint_rate",
+        "endpoint_failure_share",
+        "set_aside_calls_total",
         "endpoint_running",
         "endpoint_waiting",
         "open_requests",
--- a/tests/mesh/peers.rs
+++ b/tests/mesh/peers.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use hyper::Uri;
 use marigoldhatch::clock::DeadlineClock;
+use marigoldhatch::decisions::outliers::FailureReport;
 use marigoldhatch::decisions::root_admission::ClassKey;
 use marigoldhatch::mesh::executor::CallOutcome;
 use marigoldhatch::mesh::executor::CallRequest;
@@ -31,6 +32,7 @@
             service: "archive".to_owned(),
             slots: 4,
             cold: false,
+            failures: FailureReport::default(),
         }),
         ..DaemonReport::default()
     }
@@ -93,6 +95,7 @@
                     nested: false,
                     possible_duplicate: false,
                 },
+                caller_domain: 0,
                 deadline: before + Duration::from_secs(6),
                 queue_timeout: Duration::from_secs(1),
             };
