--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 #[cfg(feature = "product")]
 pub mod membership;
+pub mod outliers;
 #[cfg(feature = "product")]
 pub mod ownership;
 pub mod pacing;
--- a/src/mesh/entry/dispatch.rs
+++ b/src/mesh/entry/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::codes::ResultCode;
 use crate::decisions::cold::joins_draw;
 use crate::decisions::placement::pick_executor;
+use crate::decisions::placement::CallTraits;
 use crate::decisions::placement::ExecutorLoad;
 use crate::observe::LogEvent;
 
@@ -83,9 +84,9 @@
     let mut arrivals = 0;
     let mut code = state.missing_executor_code();
     while tried.len() < MAX_EXECUTORS {
-        let chosen = match choose_executor(state, &request.service, tried) {
+        let chosen = match choose_executor(state, request, tried) {
             None if tried.is_empty() => {
-                wait_for_executor(state, &request.service, limits.first_executor_by).await
+                wait_for_executor(state, request, limits.first_executor_by).await
             }
             chosen => chosen,
         };
@@ -175,12 +176,12 @@
 /// replaced at once.
 async fn wait_for_executor(
     state: &MeshState,
-    service: &str,
+    request: &CallRequest,
     until: BootTime,
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
     loop {
         let changed = state.executors_changed.notified();
-        if let Some(chosen) = choose_executor(state, service, &[]) {
+        if let Some(chosen) = choose_executor(state, request, &[]) {
             return Some(chosen);
         }
         state.clock.timeout_at(until, changed).await?;
@@ -189,9 +190,14 @@
 
 fn choose_executor(
     state: &MeshState,
-    service: &str,
+    request: &CallRequest,
     tried: &[SocketAddrV4],
 ) -> Option<(SocketAddrV4, ExecutorTarget)> {
+    let service = &*request.service;
+    let traits = CallTraits {
+        idempotent: request.idempotent,
+        repeated: !tried.is_empty(),
+    };
     let settings = state.settings();
     let own_address = settings.link_address;
     let may_run_here = !state.is_stopping() && !tried.contains(&own_address);
@@ -209,6 +215,7 @@
                     rated: endpoint.rated,
                     same_domain: peer.is_in_domain(&settings.failure_domain),
                     silent: peer.is_silent(),
+                    outlier: peer.outlier_mark.get(),
                 })
             });
             if let Some(Some(load)) = load {
@@ -220,7 +227,10 @@
             loads.push(load);
             candidates.push(None);
         }
-        let index = pick_index(&loads, &mut state.rng.borrow_mut())?;
+        let index = pick_index(&loads, traits, &mut state.rng.borrow_mut())?;
+        if loads[index].outlier.set_aside {
+            state.outliers.count_call();
+        }
         Some(match candidates[index] {
             Some(peer) => (peer.address, ExecutorTarget::Remote(peer.clone())),
             None => (own_address, ExecutorTarget::Local),
@@ -230,9 +240,9 @@
 
 /// Picks an executor among those that take part in the choice for this call: cold endpoints only do so in
 /// proportion to what they take. If none takes part, all do.
-fn pick_index(loads: &[ExecutorLoad], rng: &mut SmallRng) -> Option<usize> {
+fn pick_index(loads: &[ExecutorLoad], traits: CallTraits, rng: &mut SmallRng) -> Option<usize> {
     if !loads.iter().any(|load| load.rated) {
-        return pick_executor(loads, rng);
+        return pick_executor(loads, traits, rng);
     }
     let in_hand: u32 = loads.iter().map(|load| load.in_hand).sum();
     let mut drawn: SmallVec<[usize; 16]> = SmallVec::new();
@@ -242,8 +252,8 @@
         }
     }
     if drawn.is_empty() {
-        return pick_executor(loads, rng);
+        return pick_executor(loads, traits, rng);
     }
     let taking_part: SmallVec<[ExecutorLoad; 16]> = drawn.iter().map(|one| loads[*one]).collect();
-    Some(drawn[pick_executor(&taking_part, rng)?])
+    Some(drawn[pick_executor(&taking_part, traits, rng)?])
 }
--- a/src/mesh/executor/parents.rs
+++ b/src/mesh/executor/parents.rs
@@ -5,6 +5,7 @@
 //! the nearest deadline, because a call inherits its parent's deadline. The result is only used for
 //! admission, so a wrong match breaks no guarantee.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -32,6 +33,10 @@
     deadline: BootTime,
     attempt_id: Rc<str>,
     usage: TreeUsage,
+    /// Number of its calls that have no outcome yet.
+    open_calls: u32,
+    /// True if one of its calls failed.
+    call_failed: bool,
 }
 
 /// Requests that the endpoint runs.
@@ -63,6 +68,8 @@
             deadline,
             attempt_id,
             usage: TreeUsage::new(),
+            open_calls: 0,
+            call_failed: false,
         });
         number
     }
@@ -94,6 +101,11 @@
         }
     }
 
+    fn record_mut(&mut self, number: u64) -> Option<&mut ParentRecord> {
+        let index = self.index_of(number)?;
+        Some(&mut self.running[index])
+    }
+
     fn index_of(&self, number: u64) -> Option<usize> {
         let found = self
             .running
@@ -107,6 +119,28 @@
             .partition_point(|other| *other < (deadline, number))
     }
 
+    /// Records that a request has made a call.
+    pub fn begin_call(&mut self, number: u64) {
+        if let Some(record) = self.record_mut(number) {
+            record.open_calls += 1;
+        }
+    }
+
+    /// Records that a call of a request has ended.
+    pub fn end_call(&mut self, number: u64, succeeded: bool) {
+        if let Some(record) = self.record_mut(number) {
+            record.open_calls = record.open_calls.saturating_sub(1);
+            record.call_failed |= !succeeded;
+        }
+    }
+
+    /// Returns true if a call of a request failed or has no outcome yet, so that a failure of the
+    /// request may not be the endpoint's own.
+    pub fn failed_below(&self, number: u64) -> bool {
+        let record = self.index_of(number).map(|index| &self.running[index]);
+        record.is_some_and(|record| record.call_failed || record.open_calls > 0)
+    }
+
     fn nearest_by_deadline(&self, deadline: BootTime) -> Option<u64> {
         let (before, after) = self
             .by_deadline
@@ -124,6 +158,8 @@
 pub struct ParentGuard<'a> {
     parents: &'a RefCell<ParentTable>,
     number: u64,
+    /// Set at the end if a call of the request failed or is open.
+    failed_below: &'a Cell<bool>,
 }
 
 impl<'a> ParentGuard<'a> {
@@ -133,20 +169,65 @@
         deadline: BootTime,
         attempt_id: &str,
         origin: CallOrigin,
+        failed_below: &'a Cell<bool>,
     ) -> Self {
         let number = parents.borrow_mut().add(deadline, attempt_id, origin);
-        Self { parents, number }
+        Self {
+            parents,
+            number,
+            failed_below,
+        }
     }
 
     /// Removes the request and returns the slot time of its nested calls.
     pub fn close(self) -> TreeUsage {
-        self.parents.borrow_mut().remove(self.number)
+        self.remove()
+    }
+
+    fn remove(&self) -> TreeUsage {
+        let mut parents = self.parents.borrow_mut();
+        if parents.failed_below(self.number) {
+            self.failed_below.set(true);
+        }
+        parents.remove(self.number)
     }
 }
 
 impl Drop for ParentGuard<'_> {
     fn drop(&mut self) {
-        self.parents.borrow_mut().remove(self.number);
+        self.remove();
+    }
+}
+
+/// Call that a running request has made. Unless it ends with a success, the request's failure is not
+/// the endpoint's own.
+pub struct NestedCall<'a> {
+    parents: &'a RefCell<ParentTable>,
+    parent: u64,
+    succeeded: bool,
+}
+
+impl<'a> NestedCall<'a> {
+    /// Records that the request with this number has made a call.
+    pub fn begin(parents: &'a RefCell<ParentTable>, parent: u64) -> Self {
+        parents.borrow_mut().begin_call(parent);
+        Self {
+            parents,
+            parent,
+            succeeded: false,
+        }
+    }
+
+    /// Records the outcome of the call.
+    pub fn close(mut self, succeeded: bool) {
+        self.succeeded = succeeded;
+    }
+}
+
+impl Drop for NestedCall<'_> {
+    fn drop(&mut self) {
+        let mut parents = self.parents.borrow_mut();
+        parents.end_call(self.parent, self.succeeded);
     }
 }
 
--- a/src/mesh/fleet/peer.rs
+++ b/src/mesh/fleet/peer.rs
@@ -22,6 +22,7 @@
 use super::report::DaemonReport;
 use super::report::DaemonStatus;
 use crate::clock::BootTime;
+use crate::decisions::outliers::OutlierMark;
 
 /// Maximum age of a call that is resumed on a new link. The other daemon retains outcomes for
 /// longer.
@@ -65,6 +66,8 @@
     last_received: Cell<Option<Instant>>,
     /// Time of the oldest ping since which nothing was received.
     unanswered_ping: Cell<Option<Instant>>,
+    /// Standing of its endpoint among those of its service.
+    pub outlier_mark: Cell<OutlierMark>,
     /// Notified when the link should be pinged without waiting for the interval.
     pub ping_due: Notify,
 }
@@ -91,6 +94,7 @@
             sent_since_report: Cell::new(0),
             last_received: Cell::new(None),
             unanswered_ping: Cell::new(None),
+            outlier_mark: Cell::new(OutlierMark::default()),
             ping_due: Notify::new(),
         }
     }
--- a/src/mesh/fleet/report.rs
+++ b/src/mesh/fleet/report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::decisions::evacuation::EvacuationSet;
+use crate::decisions::outliers::FailureReport;
 
 /// A daemon's state; see `docs/design/platform.md`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     pub cold: bool,
     /// True while the endpoint is cold and takes few requests a second, which its slots show.
     pub rated: bool,
+    /// Share of its recent calls that the endpoint failed, in steps.
+    pub failures: FailureReport,
 }
 
 impl DaemonReport {
--- a/src/observe/event.rs
+++ b/src/observe/event.rs
@@ -42,6 +42,9 @@
     ColdEnded = 1121, "The endpoint on this VM is no longer taken for cold.";
     ColdSuspected = 1122, "The endpoint on this VM may be cold, as it may have started anew unnoticed.";
     ColdChecked = 1123, "The endpoint on this VM, which may be cold, was asked whether it is.";
+    FailureShareChanged = 1140, "The reported share of failures of the endpoint on this VM changed.";
+    EndpointSetAside = 1141, "An endpoint that fails far more calls than the others of its service was set aside.";
+    EndpointTakenBack = 1142, "An endpoint that was set aside gets calls again.";
     CallPlaced = 2001, "An endpoint was chosen for a call.";
     CallOwned = 2002, "The owner of a non-idempotent request was looked up.";
     CallRefused = 2003, "A request was refused.";
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod keys;
 mod membership;
+mod outliers;
 mod ownership;
 mod placement;
 mod rates;
--- a/tests/mesh/call_futures.rs
+++ b/tests/mesh/call_futures.rs
@@ -32,6 +32,7 @@
         clock.clone(),
     );
     let request = CallRequest {
+        caller_domain: 0,
         method: Method::GET,
         target: Uri::from_static("/file/1"),
         headers: HeaderMap::new(),
--- a/tests/mesh/evacuation.rs
+++ b/tests/mesh/evacuation.rs
@@ -20,6 +20,7 @@
 use marigoldhatch::decisions::announcement::EndpointAnnouncement;
 use marigoldhatch::decisions::announcement::EndpointState;
 use marigoldhatch::decisions::evacuation::EvacuationSet;
+use marigoldhatch::decisions::outliers::FailureReport;
 use marigoldhatch::decisions::root_admission::ClassKey;
 use marigoldhatch::mesh::executor::CallOutcome;
 use marigoldhatch::mesh::executor::CallRequest;
@@ -71,6 +72,7 @@
     let mut headers = HeaderMap::new();
     headers.insert("x-attempt", HeaderValue::from_static("a"));
     CallRequest {
+        caller_domain: 0,
         method: Method::POST,
         target: Uri::from_static("/file/1"),
         headers,
@@ -126,6 +128,7 @@
             service: "archive".to_owned(),
             slots: 4,
             rated: false,
+            failures: FailureReport::default(),
             cold: false,
         }),
         ..DaemonReport::default()
