--- a/tests/mesh/charges.rs
+++ b/tests/mesh/charges.rs
@@ -390,13 +390,13 @@
     }
 
     fn update(&mut self, step: usize) {
-        if step % STEPS_PER_UPDATE == 0 {
+        if step.is_multiple_of(STEPS_PER_UPDATE) {
             let others = DemandReport::default();
             let delay = Duration::from_millis(400);
             self.admission
                 .update_quotas(Some(&others), |_| 0, 1, UPDATE, delay);
         }
-        if step % 25 == 0 {
+        if step.is_multiple_of(25) {
             self.admission
                 .update_offered_rates(Duration::from_millis(250));
             let own = DemandReport {
@@ -420,14 +420,14 @@
             let now = STEP * step as u32;
             self.update(step);
             for _ in 0..10 {
-                for organisation in 0..5 {
+                for (organisation, count) in admitted.iter_mut().enumerate() {
                     let demand = if organisation == 0 { hot_demand } else { 60.0 };
                     if !self.rng.random_bool(demand / 1000.0) {
                         continue;
                     }
                     let name = format!("organisation-{organisation}");
                     if self.admit(&name, rule, now) && step >= 1000 {
-                        admitted[organisation] += 1.0 / 30.0;
+                        *count += 1.0 / 30.0;
                     }
                 }
             }
