--- a/tests/mesh/charges.rs
+++ b/tests/mesh/charges.rs
@@ -68,10 +68,11 @@
     let mut fleet = QuotaFleet::of(daemons);
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut started = Duration::ZERO;
-    let mut counts = vec![StepCounts::default(); seconds * STEPS_PER_SECOND];
+    let mut counts = vec![];
     let mut queue: VecDeque<Vec<WaitingRequest>> = (0..QUEUE_STEPS).map(|_| vec![]).collect();
     let mut returning: VecDeque<Vec<u32>> = (0..RETURN_STEPS).map(|_| vec![]).collect();
-    for step in 0..counts.len() {
+    for step in 0..seconds * STEPS_PER_SECOND {
+        let mut count = StepCounts::default();
         let second = step / STEPS_PER_SECOND;
         if load.restart == Some(second) {
             // Endpoints may still run what the killed daemons had sent them.
@@ -79,7 +80,8 @@
                 .iter_mut()
                 .map(|requests| requests.drain(..).len())
                 .sum();
-            counts[step].ran += sent as u32;
+            count.ran += sent as u32;
+            counts.push(count);
             fleet.restart();
             started = STEP * step as u32;
             continue;
@@ -100,7 +102,7 @@
         let mut refused = vec![];
         for settled in queue.pop_front().expect("a queue of fixed length") {
             if (load.runs)(second) {
-                counts[step].ran += 1;
+                count.ran += 1;
             } else {
                 fleet.shares[settled.daemon].refund();
                 refused.push(settled.tries);
@@ -113,7 +115,7 @@
                 refused.push(tries);
                 continue;
             }
-            counts[step].class_admitted += 1;
+            count.class_admitted += 1;
             let daemon = rng.random_range(0..daemons);
             let share = &mut fleet.shares[daemon];
             let admitted = !share.exceeds_class_part(&rule, &TOLERANCE, class_share)
@@ -121,7 +123,7 @@
             if admitted {
                 sent.push(WaitingRequest { daemon, tries });
             } else {
-                counts[step].quota_refused += 1;
+                count.quota_refused += 1;
                 refused.push(tries);
             }
         }
@@ -129,6 +131,7 @@
         let last = returning.back_mut().expect("a queue of fixed length");
         let repeated = refused.iter().filter(|tries| **tries < CALLER_TRIES);
         last.extend(repeated.map(|tries| tries + 1));
+        counts.push(count);
     }
     counts
 }
