--- a/bench/src/handlings/day.rs
+++ b/bench/src/handlings/day.rs
@@ -83,8 +83,9 @@
     let right_callers = Arc::new(OnceLock::new());
     let calls_to = right_callers.clone();
     let root_endpoint =
-        ServerThread::start(move |address, stop| serve_root_endpoint(address, calls_to, stop));
-    let leaf_endpoint = ServerThread::start(serve_leaf_endpoint);
+        ServerThread::start(move |address, stop| serve_root_endpoint(address, calls_to, stop))
+            .wait_until_listening();
+    let leaf_endpoint = ServerThread::start(serve_leaf_endpoint).wait_until_listening();
     let (left_link, right_link) = (free_address(), free_address());
     let endpoint = leaf_endpoint.address;
     let left = start_daemon(left_link, None, LEAF_SERVICE, endpoint);
--- a/bench/src/handlings/mod.rs
+++ b/bench/src/handlings/mod.rs
@@ -151,7 +151,7 @@
 }
 
 fn start_endpoint() -> ServerThread {
-    ServerThread::start(serve_endpoint)
+    ServerThread::start(serve_endpoint).wait_until_listening()
 }
 
 /// Addresses that a daemon listens on and connects to.
--- a/bench/src/handlings/thread.rs
+++ b/bench/src/handlings/thread.rs
@@ -10,6 +10,9 @@
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
+/// Delay between two attempts to connect to a server that starts.
+const CONNECT_PAUSE: Duration = Duration::from_millis(1);
+
 /// Channel on which the thread sends its CPU time.
 type CpuTimeReply = oneshot::Sender<Duration>;
 
@@ -52,6 +55,15 @@
         }
     }
 
+    /// Waits until the server accepts connections. A daemon whose endpoint refuses one calls it no more
+    /// until its next announcement, of which a measurement has none.
+    pub fn wait_until_listening(self) -> Self {
+        while std::net::TcpStream::connect(self.address).is_err() {
+            std::thread::sleep(CONNECT_PAUSE);
+        }
+        self
+    }
+
     /// Returns the CPU time that the thread has used.
     pub fn cpu_time(&self) -> Duration {
         let (reply_sender, reply_receiver) = oneshot::channel();
