Measure the time of a call at its endpoint once

The guard of the outcome and the executor both held the start of the call; the guard now returns the time.

--- a/src/mesh/executor/endpoint.rs
+++ b/src/mesh/executor/endpoint.rs
@@ -247,13 +247,11 @@
         let Some(permit) = permit.flatten() else {
             return CallOutcome::Refused(self.refusal_cause(&call.service));
         };
-        let started = Instant::now();
         let progress = CallProgress::from_flag(forwarded);
         let guard = self.outcomes.watch(call.caller_domain, &progress);
         let mut outcome = self.forward(call, &progress).await;
         let by_deadline = !self.clock.remaining(call.deadline).is_zero();
-        guard.close(&outcome, by_deadline, self.slots.rate().is_some());
-        let slot_time = started.elapsed();
+        let slot_time = guard.close(&outcome, by_deadline, self.slots.rate().is_some());
         drop(permit);
         if forwarded.get() {
             self.slots.record_run_time(slot_time);
--- a/src/mesh/executor/outcomes.rs
+++ b/src/mesh/executor/outcomes.rs
@@ -112,17 +112,18 @@
 }
 
 impl OutcomeGuard<'_> {
-    /// Records the outcome of the call. `by_deadline` is true if time is left until its deadline,
-    /// `limited` if the endpoint names a limit of requests a second.
-    pub fn close(mut self, outcome: &CallOutcome, by_deadline: bool, limited: bool) {
+    /// Records the outcome of the call and returns the time for which it held its slot. `by_deadline` is
+    /// true if time is left until its deadline, `limited` if the endpoint names a limit of requests a second.
+    pub fn close(mut self, outcome: &CallOutcome, by_deadline: bool, limited: bool) -> Duration {
         self.recorded = true;
+        let held = self.began.elapsed();
         if self.progress.failed_below.get() && !is_success(outcome) {
-            return;
+            return held;
         }
         if let Some(outcome) = judge_outcome(outcome, by_deadline, limited) {
-            self.recorder
-                .record(self.domain, outcome, self.began.elapsed());
+            self.recorder.record(self.domain, outcome, held);
         }
+        held
     }
 }
 
