Admit no trees that need a service without slots during an evacuation

With all endpoints of a service in evacuated domains no report names the service, so admission planned as if it had room: requests ran and failed at their call. During an evacuation a service that requests use and no current report names has no capacity. Without an evacuation nothing changes.

--- a/src/mesh/control/allocation.rs
+++ b/src/mesh/control/allocation.rs
@@ -63,6 +63,8 @@
     let others = view.others(state.now());
     // Without other daemons there is no sum, and the own load is always current.
     let age = view.age(state.now()).unwrap_or(Duration::ZERO);
+    let evacuating = !state.evacuations().domains().is_empty();
     let mut admission = state.admission.borrow_mut();
+    admission.set_evacuating(evacuating);
     admission.update_class_shares(others, &own, age <= MAX_LOAD_AGE);
 }
--- a/src/mesh/entry/admission.rs
+++ b/src/mesh/entry/admission.rs
@@ -49,6 +49,8 @@
     planned_capacities: HashMap<u32, f64>,
     retry_budgets: HashMap<u32, RetryWindow>,
     charges: ChargeCounts,
+    /// True while a failure domain is evacuated, so that a service may have no slots at all.
+    evacuating: bool,
     /// Number of allocations since the start.
     allocations: u32,
 }
@@ -216,6 +218,12 @@
         }
     }
 
+    /// Sets whether a failure domain is evacuated. A service that no report names then has no capacity;
+    /// without an evacuation its endpoints may just not have reported yet.
+    pub fn set_evacuating(&mut self, evacuating: bool) {
+        self.evacuating = evacuating;
+    }
+
     /// Allocates to each class the share of its requests that the services have capacity for.
     ///
     /// The correction of the capacities follows the load only while it is current.
@@ -229,6 +237,9 @@
         for report in others.into_iter().chain([own]) {
             fleet.add(report);
         }
+        if self.evacuating && load_is_current && others.is_some() {
+            fleet.add_services_without_slots();
+        }
         let services: Vec<u32> = fleet.services.keys().copied().collect();
         let capacities: Vec<ServiceCapacity> = services
             .iter()
@@ -343,7 +354,7 @@
             .corrections
             .entry(service)
             .or_insert_with(CapacityCorrection::start);
-        if load_is_current {
+        if load_is_current && totals.slots > 0.0 {
             correction.observe(totals.in_hand / totals.slots.max(1.0));
         }
         ServiceCapacity {
@@ -434,6 +445,14 @@
 }
 
 impl FleetTotals {
+    /// Adds the services that requests use and no endpoint serves.
+    fn add_services_without_slots(&mut self) {
+        let costs = self.classes.values();
+        for service in costs.flat_map(|totals| totals.weighted_costs.keys()) {
+            self.services.entry(*service).or_default();
+        }
+    }
+
     fn add(&mut self, report: &DemandReport) {
         for rate in &report.classes {
             self.classes.entry(rate.class).or_default().add(rate);
--- a/tests/mesh/evacuation.rs
+++ b/tests/mesh/evacuation.rs
@@ -19,9 +19,14 @@
 use marigoldhatch::codes::ResultCode;
 use marigoldhatch::decisions::announcement::EndpointAnnouncement;
 use marigoldhatch::decisions::announcement::EndpointState;
+use marigoldhatch::decisions::demand::ClassRate;
+use marigoldhatch::decisions::demand::DemandReport;
+use marigoldhatch::decisions::demand::ServiceLoad;
 use marigoldhatch::decisions::evacuation::EvacuationSet;
 use marigoldhatch::decisions::outliers::FailureReport;
 use marigoldhatch::decisions::root_admission::ClassKey;
+use marigoldhatch::decisions::root_admission::ServiceUsage;
+use marigoldhatch::mesh::entry::EntryAdmission;
 use marigoldhatch::mesh::executor::CallOutcome;
 use marigoldhatch::mesh::executor::CallRequest;
 use marigoldhatch::mesh::fleet::hash_name;
@@ -33,6 +38,7 @@
 use marigoldhatch::mesh::link::LinkFrame;
 use marigoldhatch::mesh::link::RefusalCause;
 use marigoldhatch::mesh::MeshState;
+use smallvec::smallvec;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -262,3 +268,49 @@
         );
     }
 }
+
+/// Demand of a route whose requests use a service, with the slots of that service if it has any.
+fn demand_of_tree(slots: Option<u32>) -> DemandReport {
+    let service = hash_name("prices");
+    let usage = ServiceUsage {
+        service,
+        slot_us: 15_000,
+    };
+    let load = slots.map(|slots| ServiceLoad {
+        name_hash: service,
+        slots,
+        in_hand: 0,
+    });
+    DemandReport {
+        classes: vec![ClassRate {
+            class: TREE_CLASS,
+            requests_per_100s: 10_000,
+            costs: smallvec![usage],
+        }],
+        services: load.into_iter().collect(),
+        ..DemandReport::default()
+    }
+}
+
+const TREE_CLASS: ClassKey = ClassKey { rank: 1, route: 7 };
+
+#[test]
+fn trees_that_need_a_service_without_slots_are_refused_during_an_evacuation_only() {
+    let own = DemandReport::default();
+    let mut admission = EntryAdmission::default();
+    assert!(admission.admit_class(TREE_CLASS));
+    let share = |admission: &mut EntryAdmission, slots, is_current| {
+        admission.update_class_shares(Some(&demand_of_tree(slots)), &own, is_current);
+        admission.class_share(TREE_CLASS)
+    };
+    assert_eq!(share(&mut admission, Some(50), true), 1.0);
+    assert_eq!(share(&mut admission, None, true), 1.0, "not reported yet");
+    admission.set_evacuating(true);
+    assert_eq!(share(&mut admission, None, false), 1.0, "an old sum");
+    assert_eq!(share(&mut admission, None, true), 0.0);
+    assert_eq!(
+        share(&mut admission, Some(50), true),
+        1.0,
+        "slots elsewhere"
+    );
+}
