Decide the pace of an endpoint that has just started or recovered

Cause: an endpoint that has just started or recovered is flooded, or left idle for long. Decision and tests only: the executor doesn't use it yet, so nothing changes for callers.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 #[cfg(feature = "product")]
 pub mod ownership;
+pub mod pace;
 pub mod pacing;
 pub mod placement;
 pub mod quota;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod membership;
 mod ownership;
+mod pace;
 mod placement;
 mod rates;
 mod retries;
