--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -19,6 +19,7 @@
 pub mod outliers;
 #[cfg(feature = "product")]
 pub mod ownership;
+pub mod pace;
 pub mod pacing;
 pub mod placement;
 pub mod quota;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod outliers;
 mod ownership;
+mod pace;
 mod placement;
 mod rates;
 mod retries;
