--- a/src/mesh/executor/mod.rs
+++ b/src/mesh/executor/mod.rs
@@ -8,6 +8,7 @@
 mod coldness;
 mod endpoint;
 mod evacuation;
+mod forward;
 mod limited_stream;
 mod limits;
 mod outcomes;
