review: show that daemons that lose each other for a minute never meet again

After 60 s without a connection a daemon forgets the other one and waits to be called. After a cut both have forgotten each other, and requests to the other side get 503 until a daemon is restarted. Nothing is fixed.

--- a/review/support-2/vm.rs
+++ b/review/support-2/vm.rs
@@ -25,6 +25,16 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// Options of a machine.
+pub struct VmOptions<'a> {
+    pub ip: Ipv4Addr,
+    pub service: &'a str,
+    pub zone: &'a str,
+    pub store: SocketAddr,
+    /// Address at which the daemon accepts links behind a proxy, if there is one.
+    pub listen: Option<SocketAddr>,
+}
+
 /// Machine with a daemon; the daemon's process ends with this value.
 pub struct Vm {
     pub outbound: SocketAddrV4,
@@ -32,18 +42,14 @@
     control: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    listen: Option<SocketAddr>,
     process: Option<Child>,
 }
 
 impl Vm {
     /// Writes the settings and starts the daemon as the deploy file says.
-    pub fn start(
-        ip: Ipv4Addr,
-        service: &str,
-        zone: &str,
-        store: SocketAddr,
-        directory: &Path,
-    ) -> Result<Self> {
+    pub fn start(options: VmOptions<'_>, directory: &Path) -> Result<Self> {
+        let VmOptions { ip, service, zone, store, listen } = options;
         let address = |port| SocketAddr::from((ip, port));
         let outbound = SocketAddrV4::new(ip, 8001);
         let (ready, control) = (address(8002), address(8003));
@@ -66,7 +72,7 @@
         std::fs::write(&settings, text)?;
         let log = directory.join(format!("{ip}.log"));
         let process = None;
-        let mut vm = Self { outbound, ready, control, settings, log, process };
+        let mut vm = Self { outbound, ready, control, settings, log, listen, process };
         vm.start_daemon()?;
         Ok(vm)
     }
@@ -75,6 +81,9 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(DAEMON);
         command.env_clear().env("MARIGOLDHATCH_BOOT", &self.settings);
+        if let Some(listen) = self.listen {
+            command.args(["--listen-links", &listen.to_string()]);
+        }
         command.stdout(Stdio::from(log.try_clone()?)).stderr(Stdio::from(log));
         self.process = Some(command.spawn()?);
         Ok(())
