review: show that two late pings bring back an endpoint that has left

A daemon that was killed after it had acknowledged a deregistration asks the endpoint of a late ping whether it stays. If the check hangs, the next late ping counts as the answer. Nothing is fixed.

--- a/review/support-2/deployment.rs
+++ b/review/support-2/deployment.rs
@@ -1,7 +1,6 @@
 //! Two machines with daemons, a store and the operator's configuration.
 
 use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -9,12 +8,11 @@
 use std::time::Duration;
 
 use crate::client::CallerConnection;
-use crate::endpoint::start_endpoint;
+use crate::endpoint::Endpoint;
 use crate::endpoint::Task;
-use crate::link_proxy::start_proxy;
-use crate::link_proxy::LinkCut;
 use crate::record::Record;
 use crate::store::Store;
+use crate::vm::Announcer;
 use crate::vm::Vm;
 use crate::vm::VmOptions;
 
@@ -23,13 +21,12 @@
 /// Service of the machine whose clients send the requests, and of the one that runs them.
 const SERVICES: [&str; 2] = ["portal", "ledger"];
 const ZONES: [&str; 2] = ["chicago", "detroit"];
-/// First internal port, to which links are opened, and the one behind a proxy.
-const LINK_PORT: u16 = 7000;
-const LISTEN_PORT: u16 = 7001;
 
 /// Deployment whose clients are on the first machine and whose requests run on the second one.
 pub struct Deployment {
     pub vms: Vec<Vm>,
+    pub endpoints: Vec<Endpoint>,
+    pub announcers: Vec<Arc<Announcer>>,
     directory: PathBuf,
 }
 
@@ -39,25 +36,6 @@
         record: &Arc<Record>,
         timeout_s: u32,
         task_of: impl Fn(&str) -> Task + Clone + Send + Sync + 'static,
-    ) -> Result<Self, String> {
-        Self::start_with(record, timeout_s, None, task_of)
-    }
-
-    /// Starts all with proxies before the daemons' links, which can be cut.
-    pub fn start_with_proxies(
-        record: &Arc<Record>,
-        task_of: impl Fn(&str) -> Task + Clone + Send + Sync + 'static,
-    ) -> Result<(Self, LinkCut), String> {
-        let cut = LinkCut::default();
-        let deployment = Self::start_with(record, 5, Some(&cut), task_of)?;
-        Ok((deployment, cut))
-    }
-
-    fn start_with(
-        record: &Arc<Record>,
-        timeout_s: u32,
-        cut: Option<&LinkCut>,
-        task_of: impl Fn(&str) -> Task + Clone + Send + Sync + 'static,
     ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let directory = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -66,19 +44,16 @@
         let ip = |last| Ipv4Addr::new(127, network[0], network[1], last);
         let store = Store::start(ip(250)).map_err(text)?;
         store.append("keyed.op", "config", config(timeout_s).as_bytes());
-        let vms = Vec::new();
-        let mut started = Self { vms, directory };
+        let (vms, endpoints, announcers) = (Vec::new(), Vec::new(), Vec::new());
+        let mut started = Self { vms, endpoints, announcers, directory };
         for (index, service) in SERVICES.into_iter().enumerate() {
             let (ip, zone, id) = (ip(1 + index as u8), ZONES[index], format!("i-{service}"));
-            let address = start_endpoint(ip, &id, record, task_of.clone()).map_err(text)?;
-            let listen = cut.map(|_| SocketAddr::from((ip, LISTEN_PORT)));
-            if let Some((cut, listen)) = cut.zip(listen) {
-                start_proxy(SocketAddr::from((ip, LINK_PORT)), listen, cut).map_err(text)?;
-            }
-            let options = VmOptions { ip, service, zone, store: store.address, listen };
+            let endpoint = Endpoint::start(ip, id, record, task_of.clone()).map_err(text)?;
+            let options = VmOptions { ip, service, zone, store: store.address };
             let vm = Vm::start(options, &started.directory).map_err(text)?;
-            vm.announce(&id, service, address);
+            started.announcers.push(vm.announce(&endpoint, service));
             started.vms.push(vm);
+            started.endpoints.push(endpoint);
         }
         if !started.vms.iter().all(Vm::wait_ready) {
             return Err("a daemon isn't ready".to_owned());
@@ -146,7 +121,7 @@
     (0..50).find_map(|attempt| {
         let number = process + attempt * 977;
         let network = [64 + (number % 128) as u8, (number / 128 % 250) as u8];
-        let ports = [8001, 8002, 8003, 8080, LINK_PORT, LISTEN_PORT, 9464];
+        let ports = [8001, 8002, 8003, 8080, 7000, 9464];
         let is_free = |port| TcpListener::bind((Ipv4Addr::new(127, network[0], network[1], 1), port)).is_ok();
         ports.into_iter().all(is_free).then_some(network)
     })
--- a/review/support-2/endpoint.rs
+++ b/review/support-2/endpoint.rs
@@ -6,6 +6,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -31,26 +33,53 @@
     pub answer_bytes: usize,
 }
 
+/// Endpoint that serves until the process ends.
+pub struct Endpoint {
+    pub id: String,
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
 struct Shared {
     id: String,
     record: Arc<Record>,
     task_of: Box<dyn Fn(&str) -> Task + Send + Sync>,
+    leaving: AtomicBool,
+    health_hangs: AtomicBool,
 }
 
-/// Starts an endpoint; `task_of` returns the task of a request by its target.
-pub fn start_endpoint(
-    ip: Ipv4Addr,
-    id: &str,
-    record: &Arc<Record>,
-    task_of: impl Fn(&str) -> Task + Send + Sync + 'static,
-) -> Result<SocketAddr> {
-    let listener = TcpListener::bind((ip, 8080))?;
-    narrow_listener(&listener)?;
-    let address = listener.local_addr()?;
-    let (id, record) = (id.to_owned(), record.clone());
-    let shared = Arc::new(Shared { id, record, task_of: Box::new(task_of) });
-    accept(listener, move |connection| drop(serve(&shared, connection)));
-    Ok(address)
+impl Endpoint {
+    /// Starts an endpoint; `task_of` returns the task of a request by its target.
+    pub fn start(
+        ip: Ipv4Addr,
+        id: String,
+        record: &Arc<Record>,
+        task_of: impl Fn(&str) -> Task + Send + Sync + 'static,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind((ip, 8080))?;
+        narrow_listener(&listener)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.clone(),
+            record: record.clone(),
+            task_of: Box::new(task_of),
+            leaving: AtomicBool::new(false),
+            health_hangs: AtomicBool::new(false),
+        });
+        let served = shared.clone();
+        accept(listener, move |connection| drop(serve(&served, connection)));
+        Ok(Self { id, address, shared })
+    }
+
+    /// Sets whether status checks hang.
+    pub fn set_health_hangs(&self, hangs: bool) {
+        self.shared.health_hangs.store(hangs, Ordering::SeqCst);
+    }
+
+    /// Makes the endpoint say in status checks that it leaves.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
 }
 
 fn serve(shared: &Shared, mut connection: Connection) -> Result<()> {
@@ -58,7 +87,13 @@
     while let Some(head) = connection.read_head()? {
         let instance = &shared.id;
         if head.second_word() == "/health" {
-            let text = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {instance}\r\nContent-Length: 0\r\n\r\n");
+            while shared.health_hangs.load(Ordering::SeqCst) {
+                thread::sleep(LOOK_INTERVAL);
+            }
+            let leaves = shared.leaving.load(Ordering::SeqCst);
+            let status = if leaves { "503 Service Unavailable" } else { "200 OK" };
+            let text =
+                format!("HTTP/1.1 {status}\r\nX-Instance-Id: {instance}\r\nContent-Length: 0\r\n\r\n");
             connection.stream.write_all(text.as_bytes())?;
             continue;
         }
@@ -71,6 +106,7 @@
             connection.stream.write_all(text.as_bytes())?;
             continue;
         }
+        shared.record.note_arrival(&id);
         let run = shared.record.begin_run(&id);
         let ended = run_request(shared, &mut connection, &head, &id);
         shared.record.end_run(run, if ended.is_ok() { "answered" } else { "connection closed" });
--- a/review/support-2/main.rs
+++ b/review/support-2/main.rs
@@ -5,9 +5,8 @@
 mod deployment;
 mod endpoint;
 mod http;
-mod link_proxy;
+mod late_pings;
 mod long_bodies;
-mod long_cut;
 mod pipelined_leave;
 mod pipelined_stop;
 mod record;
@@ -32,7 +31,7 @@
     let result = match case.as_str() {
         "pipelined-stop" => pipelined_stop::run(&record, trouble),
         "long-bodies" => long_bodies::run(&record, trouble),
-        "long-cut" => long_cut::run(&record, trouble),
+        "late-pings" => late_pings::run(&record, trouble),
         "pipelined-leave" => pipelined_leave::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/support-2/record.rs
+++ b/review/support-2/record.rs
@@ -17,12 +17,18 @@
     started: Instant,
     lines: Mutex<Vec<String>>,
     runs: Mutex<Vec<Run>>,
+    arrivals: Mutex<Vec<(String, Duration)>>,
 }
 
 impl Record {
     pub fn start() -> Self {
         let started = Instant::now();
-        Self { started, lines: Mutex::default(), runs: Mutex::default() }
+        Self {
+            started,
+            lines: Mutex::default(),
+            runs: Mutex::default(),
+            arrivals: Mutex::default(),
+        }
     }
 
     pub fn now(&self) -> Duration {
@@ -34,6 +40,17 @@
         self.lines.lock().unwrap().push(line);
     }
 
+    pub fn note_arrival(&self, id: &str) {
+        self.note(&format!("{id} reaches the endpoint"));
+        let arrival = (id.to_owned(), self.now());
+        self.arrivals.lock().unwrap().push(arrival);
+    }
+
+    /// Returns the requests that reached an endpoint, and when.
+    pub fn arrivals(&self) -> Vec<(String, Duration)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     pub fn begin_run(&self, id: &str) -> usize {
         self.note(&format!("the endpoint begins {id}"));
         let mut runs = self.runs.lock().unwrap();
--- a/review/support-2/vm.rs
+++ b/review/support-2/vm.rs
@@ -10,11 +10,16 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
+use crate::endpoint::Endpoint;
 use crate::http::call;
 
 const DAEMON: &str = "target/platform/marigoldhatch-vm";
@@ -25,14 +30,56 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// What an endpoint says of itself to the daemon on its machine.
+pub struct Announcer {
+    control: SocketAddr,
+    id: String,
+    service: String,
+    address: SocketAddr,
+    born: u128,
+    sequence: AtomicU64,
+    paused: AtomicBool,
+}
+
+impl Announcer {
+    /// Ends the regular pings.
+    pub fn pause(&self) {
+        self.paused.store(true, Ordering::SeqCst);
+    }
+
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Sends a ping; returns true if the daemon acknowledges it.
+    pub fn ping(&self, sequence: u64) -> bool {
+        let Self { address, born, service, .. } = self;
+        let body = format!(
+            "{{\"Address\":\"{address}\",\"born\":{born},\
+             \"Info\":{{\"Service\":\"{service}\",\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":64}},\
+             \"Status\":{{\"State\":\"ready\",\"Sequence\":{sequence},\"ColdRemainingS\":0}}}}"
+        );
+        self.post("heartbeat", &body)
+    }
+
+    /// Says that the endpoint leaves; returns true if the daemon acknowledges it.
+    pub fn deregister(&self) -> bool {
+        self.post("deregister", &format!("{{\"born\":{}}}", self.born))
+    }
+
+    fn post(&self, what: &str, body: &str) -> bool {
+        let path = format!("/api/instances/{}/{what}", self.id);
+        // The daemon may have been stopped.
+        matches!(call(self.control, "POST", &path, body.as_bytes()), Ok((200, _)))
+    }
+}
+
 /// Options of a machine.
 pub struct VmOptions<'a> {
     pub ip: Ipv4Addr,
     pub service: &'a str,
     pub zone: &'a str,
     pub store: SocketAddr,
-    /// Address at which the daemon accepts links behind a proxy, if there is one.
-    pub listen: Option<SocketAddr>,
 }
 
 /// Machine with a daemon; the daemon's process ends with this value.
@@ -42,14 +89,13 @@
     control: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
-    listen: Option<SocketAddr>,
     process: Option<Child>,
 }
 
 impl Vm {
     /// Writes the settings and starts the daemon as the deploy file says.
     pub fn start(options: VmOptions<'_>, directory: &Path) -> Result<Self> {
-        let VmOptions { ip, service, zone, store, listen } = options;
+        let VmOptions { ip, service, zone, store } = options;
         let address = |port| SocketAddr::from((ip, port));
         let outbound = SocketAddrV4::new(ip, 8001);
         let (ready, control) = (address(8002), address(8003));
@@ -72,7 +118,7 @@
         std::fs::write(&settings, text)?;
         let log = directory.join(format!("{ip}.log"));
         let process = None;
-        let mut vm = Self { outbound, ready, control, settings, log, listen, process };
+        let mut vm = Self { outbound, ready, control, settings, log, process };
         vm.start_daemon()?;
         Ok(vm)
     }
@@ -81,33 +127,31 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(DAEMON);
         command.env_clear().env("MARIGOLDHATCH_BOOT", &self.settings);
-        if let Some(listen) = self.listen {
-            command.args(["--listen-links", &listen.to_string()]);
-        }
         command.stdout(Stdio::from(log.try_clone()?)).stderr(Stdio::from(log));
         self.process = Some(command.spawn()?);
         Ok(())
     }
 
     /// Announces the endpoint of this machine from now on.
-    pub fn announce(&self, id: &str, service: &str, address: SocketAddr) {
-        let control = self.control;
-        let (id, service) = (id.to_owned(), service.to_owned());
+    pub fn announce(&self, endpoint: &Endpoint, service: &str) -> Arc<Announcer> {
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let born = born.map_or(0, |time| time.as_millis());
-        thread::spawn(move || {
-            for sequence in 1.. {
-                let body = format!(
-                    "{{\"Address\":\"{address}\",\"born\":{born},\
-                     \"Info\":{{\"Service\":\"{service}\",\"Version\":\"v1\",\"Zone\":\"z\",\"Slots\":64}},\
-                     \"Status\":{{\"State\":\"ready\",\"Sequence\":{sequence},\"ColdRemainingS\":0}}}}"
-                );
-                let path = format!("/api/instances/{id}/heartbeat");
-                // The daemon may have been stopped.
-                drop(call(control, "POST", &path, body.as_bytes()));
-                thread::sleep(HEARTBEAT);
+        let announcer = Arc::new(Announcer {
+            control: self.control,
+            id: endpoint.id.clone(),
+            service: service.to_owned(),
+            address: endpoint.address,
+            born: born.map_or(0, |time| time.as_millis()),
+            sequence: AtomicU64::new(1),
+            paused: AtomicBool::new(false),
+        });
+        let repeated = announcer.clone();
+        thread::spawn(move || loop {
+            if !repeated.paused.load(Ordering::SeqCst) {
+                repeated.ping(repeated.next_sequence());
             }
+            thread::sleep(HEARTBEAT);
         });
+        announcer
     }
 
     /// Waits until the daemon says that it is ready; returns false if it does not within 10 s.
@@ -122,6 +166,16 @@
         false
     }
 
+    /// Kills the daemon and starts it again after a time.
+    pub fn restart(&mut self, after: Duration) -> Result<()> {
+        if let Some(mut process) = self.process.take() {
+            process.kill()?;
+            process.wait()?;
+        }
+        thread::sleep(after);
+        self.start_daemon()
+    }
+
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
         if let Some(process) = &self.process {
