Close a connection only after its caller can have read the response

Cause: hyper ends a connection once the last response is in the send buffer, and the socket was dropped at once. With bytes in its receive buffer that nobody has read, the system resets the connection and discards what it has not delivered.

Now the writing side is closed first, and what still comes is read and discarded until the caller closes its side, is silent for 500 ms or 5 s are over. So the receive buffer is empty when the socket is closed.

--- a/src/daemon/traffic/server.rs
+++ b/src/daemon/traffic/server.rs
@@ -1,6 +1,5 @@
 //! Accepts connections from callers, other daemons and the local endpoint.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,12 +8,9 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::Request;
 use hyper::Response;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -35,6 +31,7 @@
 use crate::daemon::shared::SharedState;
 use crate::daemon::start::StartError;
 use crate::observe::LogEvent;
+use crate::transport::serve_connection;
 
 /// Maximum size of a request's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -96,9 +93,11 @@
         self.stop.send_replace(true);
         let finishing = async {
             for listener in self.listeners {
-                // A listener task that panicked has no requests left to wait for.
+                // A listener task that panicked accepts no connection either.
                 let _ = listener.await;
             }
+            // Each connection holds a receiver until it is closed.
+            self.stop.closed().await;
         };
         // The deadlines of requests that still run after `timeout` have passed.
         let _ = tokio::time::timeout(timeout, finishing).await;
@@ -140,7 +139,6 @@
     state: Arc<TrafficState>,
     mut stopping: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -151,45 +149,39 @@
             tokio::time::sleep(ADMISSION_TICK).await;
             continue;
         };
-        serve_connection(stream, kind, &state, &graceful);
+        tokio::spawn(serve_caller(stream, kind, state.clone(), stopping.clone()));
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
-fn serve_connection(
+async fn serve_caller(
     stream: TcpStream,
     kind: ListenerKind,
-    state: &Arc<TrafficState>,
-    graceful: &GracefulShutdown,
+    state: Arc<TrafficState>,
+    stopping: watch::Receiver<bool>,
 ) {
     // Nagle's algorithm would delay responses. If setting the option fails, the connection is
     // broken and fails on its first read.
     let _ = stream.set_nodelay(true);
     let head_timeout = state.shared.options.body_timeout;
-    let serving = state.clone();
-    let service = service_fn(move |request| handle(request, kind, serving.clone()));
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            info!(event = LogEvent::CallerBroken.number(), cause = %error, "connection from a caller failed");
-        }
-    });
+        .max_headers(MAX_HEADERS);
+    let respond = |request| handle(request, kind, state.clone());
+    if let Err(error) = serve_connection(stream, &builder, respond, stopping).await {
+        info!(event = LogEvent::CallerBroken.number(), cause = %error, "connection from a caller failed");
+    }
 }
 
 async fn handle(
     request: Request<Incoming>,
     kind: ListenerKind,
     state: Arc<TrafficState>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Response<Full<Bytes>> {
     let headers = request.headers();
-    let response = match kind {
+    match kind {
         ListenerKind::Local => entry::serve(state, RequestOrigin::Local, request).await,
         ListenerKind::Fleet if headers.contains_key(QUERY_HEADER) => {
             let call = headers::text(headers, &QUERY_HEADER).unwrap_or_default();
@@ -200,6 +192,5 @@
             executor::serve(state, request).await
         }
         ListenerKind::Fleet => entry::serve(state, RequestOrigin::Caller, request).await,
-    };
-    Ok(response)
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod operator;
 #[cfg(feature = "product")]
 pub mod settings;
-#[cfg(feature = "product")]
 pub mod transport;
 #[cfg(feature = "product")]
 pub mod upstream;
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -1,6 +1,5 @@
 //! Serves the HTTP connections of callers, with one request at a time on each.
 
-use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,12 +10,10 @@
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -40,6 +37,7 @@
 use crate::codes::ResultClass;
 use crate::codes::ResultCode;
 use crate::observe::LogEvent;
+use crate::transport::serve_connection;
 
 /// Time past the deadline in which an outcome that is under way may still arrive.
 const OUTCOME_GRACE: Duration = Duration::from_millis(150);
@@ -89,7 +87,7 @@
     }
 }
 
-async fn serve_caller(state: Rc<MeshState>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
+async fn serve_caller(state: Rc<MeshState>, stream: TcpStream, stopped: watch::Receiver<bool>) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::warn!(%error, "cannot set TCP_NODELAY on a caller's connection");
     }
@@ -98,28 +96,20 @@
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     state.adjust_open_connections(1);
     let _guard = ConnectionGuard { state: &state };
-    let service_state = state.clone();
-    let service = service_fn(move |request| respond(service_state.clone(), request));
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES).saturating_mul(2))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => ended,
-        _ = stopped.wait_for(|stop| *stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
+        .max_buf_size(header_bytes.max(MIN_HEADER_BYTES).saturating_mul(2));
+    let respond_to = |request| respond(state.clone(), request);
+    let ended = serve_connection(stream, &builder, respond_to, stopped).await;
     if let Err(error) = ended {
         let event = LogEvent::CallerBroken.number();
         tracing::debug!(event, %error, "a caller's connection failed");
     }
 }
 
-/// Counts a caller's connection as open until all responses are written.
+/// Counts a caller's connection as open until it is closed.
 struct ConnectionGuard<'a> {
     state: &'a MeshState,
 }
@@ -142,10 +132,7 @@
 }
 
 /// Handles a request and echoes its attempt identifier in the response.
-async fn respond(
-    state: Rc<MeshState>,
-    request: Request<Incoming>,
-) -> Result<CallerResponse, Infallible> {
+async fn respond(state: Rc<MeshState>, request: Request<Incoming>) -> CallerResponse {
     state.adjust_open_requests(1);
     let _guard = OpenRequestGuard { state: &state };
     let attempt_id = request.headers().get(&state.header_names.attempt).cloned();
@@ -155,7 +142,7 @@
             .headers_mut()
             .insert(&state.header_names.attempt, value);
     }
-    Ok(response)
+    response
 }
 
 async fn handle_request(state: &MeshState, request: Request<Incoming>) -> CallerResponse {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,8 +1,17 @@
-//! Plain HTTP/1.1 connections to daemons, endpoints and the log.
+//! Plain HTTP/1.1 connections: the server side of callers' connections, and connections to daemons,
+//! endpoints and the log.
 
+#[cfg(feature = "product")]
 mod pool;
+mod server;
+mod shared_stream;
 
+#[cfg(feature = "product")]
 pub use pool::BufferedResponse;
+#[cfg(feature = "product")]
 pub use pool::ConnectionPool;
+#[cfg(feature = "product")]
 pub use pool::SendError;
+#[cfg(feature = "product")]
 pub use pool::SendOptions;
+pub use server::serve_connection;
--- /dev/null
+++ b/src/transport/shared_stream.rs
@@ -0,0 +1,148 @@
+//! Connection that an HTTP server reads and writes while its owner watches for its end.
+
+use std::future::poll_fn;
+use std::io::IoSlice;
+use std::io::Result;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::ready;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+/// Time without a byte from the peer after which a closed connection is dropped.
+const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which the bytes of a peer are read after a connection was closed.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
+/// Size of a read whose bytes are discarded.
+const DISCARD_BYTES: usize = 16 * 1024;
+
+/// Handle of a connection; the server has one and the owner of the connection another.
+#[derive(Debug, Clone)]
+pub struct SharedStream {
+    state: Arc<Mutex<StreamState>>,
+}
+
+#[derive(Debug)]
+struct StreamState {
+    stream: TcpStream,
+    /// True once the connection has failed or the peer has closed its side.
+    ended: bool,
+}
+
+impl SharedStream {
+    /// Shares a connection.
+    pub fn from_stream(stream: TcpStream) -> Self {
+        let state = StreamState {
+            stream,
+            ended: false,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Closes the connection so that the peer can read all that was written to it.
+    ///
+    /// The system resets a connection that is closed with unread bytes and discards what it has not sent
+    /// yet. So only the writing side is closed at first, and what the peer still sends is read and discarded
+    /// until it closes its side, sends nothing for [`LINGER_IDLE_TIMEOUT`] or [`MAX_LINGER_TIME`] is over.
+    pub async fn close(self) {
+        if self.lock().ended {
+            return;
+        }
+        let shut_down = poll_fn(|context| Pin::new(&mut self.lock().stream).poll_shutdown(context));
+        // A connection that can't be shut down has failed already.
+        if shut_down.await.is_err() {
+            return;
+        }
+        let give_up_at = Instant::now() + MAX_LINGER_TIME;
+        let mut buffer = vec![0; DISCARD_BYTES];
+        loop {
+            let wait_until = give_up_at.min(Instant::now() + LINGER_IDLE_TIMEOUT);
+            let discard = poll_fn(|context| self.poll_discard(context, &mut buffer));
+            let is_open = timeout_at(wait_until, discard).await;
+            if is_open != Ok(true) || Instant::now() >= give_up_at {
+                return;
+            }
+        }
+    }
+
+    /// Discards what the peer has sent; returns false at the end of the connection.
+    fn poll_discard(&self, context: &mut Context<'_>, buffer: &mut [u8]) -> Poll<bool> {
+        let mut state = self.lock();
+        let mut bytes = ReadBuf::new(buffer);
+        let result = ready!(state.poll_read(context, &mut bytes));
+        Poll::Ready(result.is_ok() && !state.ended)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StreamState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StreamState {
+    fn poll_read(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        if self.ended {
+            return Poll::Ready(Ok(()));
+        }
+        let filled = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        self.ended = result.is_err() || buffer.filled().len() == filled;
+        Poll::Ready(result)
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        self.lock().poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.lock().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.lock().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.lock().stream.is_write_vectored()
+    }
+}
