Cancel the requests of a caller that leaves with further ones sent behind

Cause: hyper sees the end of a connection while a request runs only as long as its read buffer is empty. With bytes of a further request in it, it stops to read, and the end of the connection lies behind those bytes.

Now the daemon reads ahead while a request awaits its response and hyper does not read, up to 64 KiB, and gives the bytes to hyper later. So the end of the connection is seen whatever was sent before it, and drops the running request and the rest. Behind more bytes, the socket's state is looked at.

--- a/src/daemon/traffic/server.rs
+++ b/src/daemon/traffic/server.rs
@@ -6,7 +6,6 @@
 
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::Request;
 use hyper::Response;
@@ -32,6 +31,7 @@
 use crate::daemon::start::StartError;
 use crate::observe::LogEvent;
 use crate::transport::serve_connection;
+use crate::transport::RequestBody;
 
 /// Maximum size of a request's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -176,7 +176,7 @@
 }
 
 async fn handle(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     kind: ListenerKind,
     state: Arc<TrafficState>,
 ) -> Response<Full<Bytes>> {
--- a/src/mesh/entry/serve.rs
+++ b/src/mesh/entry/serve.rs
@@ -6,7 +6,6 @@
 
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
@@ -38,6 +37,7 @@
 use crate::codes::ResultCode;
 use crate::observe::LogEvent;
 use crate::transport::serve_connection;
+use crate::transport::RequestBody;
 
 /// Time past the deadline in which an outcome that is under way may still arrive.
 const OUTCOME_GRACE: Duration = Duration::from_millis(150);
@@ -132,7 +132,7 @@
 }
 
 /// Handles a request and echoes its attempt identifier in the response.
-async fn respond(state: Rc<MeshState>, request: Request<Incoming>) -> CallerResponse {
+async fn respond(state: Rc<MeshState>, request: Request<RequestBody>) -> CallerResponse {
     state.adjust_open_requests(1);
     let _guard = OpenRequestGuard { state: &state };
     let attempt_id = request.headers().get(&state.header_names.attempt).cloned();
@@ -145,7 +145,7 @@
     response
 }
 
-async fn handle_request(state: &MeshState, request: Request<Incoming>) -> CallerResponse {
+async fn handle_request(state: &MeshState, request: Request<RequestBody>) -> CallerResponse {
     let arrived = state.clock.now();
     let (mut parts, body) = request.into_parts();
     let Some(routes) = state.routes() else {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 #[cfg(feature = "product")]
 mod pool;
+mod request_body;
 mod server;
 mod shared_stream;
 
@@ -14,4 +15,6 @@
 pub use pool::SendError;
 #[cfg(feature = "product")]
 pub use pool::SendOptions;
+pub use request_body::RequestBody;
 pub use server::serve_connection;
+pub use server::ConnectionError;
--- a/src/transport/shared_stream.rs
+++ b/src/transport/shared_stream.rs
@@ -13,12 +13,15 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::Interest;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
+use tokio_util::bytes::BytesMut;
 
 /// Time without a byte from the peer after which a closed connection is dropped.
 const LINGER_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,6 +30,13 @@
 /// Size of a read whose bytes are discarded.
 const DISCARD_BYTES: usize = 16 * 1024;
 
+/// Maximum number of bytes that are read before the server asks for them.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+/// Size of a read whose bytes are kept for the server.
+const AHEAD_READ_BYTES: usize = 4096;
+/// Interval between two checks for the peer's end behind more bytes than are read ahead.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Handle of a connection; the server has one and the owner of the connection another.
 #[derive(Debug, Clone)]
 pub struct SharedStream {
@@ -36,15 +46,34 @@
 #[derive(Debug)]
 struct StreamState {
     stream: TcpStream,
+    /// Bytes that were read before the server asked for them.
+    ahead: BytesMut,
+    /// True if the server's last read found no bytes, so that it sees the end of the connection itself.
+    server_waits: bool,
+    phase: RequestPhase,
     /// True once the connection has failed or the peer has closed its side.
     ended: bool,
 }
 
+/// Progress of the request that the server handles.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum RequestPhase {
+    /// There is none, or its response is being written.
+    Idle,
+    /// The server reads the request's body.
+    ReceivesBody,
+    /// The request's body was received or given up.
+    AwaitsResponse,
+}
+
 impl SharedStream {
     /// Shares a connection.
     pub fn from_stream(stream: TcpStream) -> Self {
         let state = StreamState {
             stream,
+            ahead: BytesMut::new(),
+            server_waits: false,
+            phase: RequestPhase::Idle,
             ended: false,
         };
         Self {
@@ -52,6 +81,64 @@
         }
     }
 
+    /// Records that the server handles a request from now on and reads its body.
+    pub fn begin_request(&self) {
+        self.lock().phase = RequestPhase::ReceivesBody;
+    }
+
+    /// Records that the body of the request was received or given up.
+    pub fn end_body(&self) {
+        let mut state = self.lock();
+        if state.phase == RequestPhase::ReceivesBody {
+            state.phase = RequestPhase::AwaitsResponse;
+        }
+    }
+
+    /// Records that the request has its response.
+    pub fn end_request(&self) {
+        self.lock().phase = RequestPhase::Idle;
+    }
+
+    /// Waits until the peer has left while a request of it awaits its response.
+    ///
+    /// The server stops to read once it holds bytes of a further request, and would not see the end of the
+    /// connection before it takes up that request. The bytes that are read here are given to it later. The
+    /// task that runs the server must poll this future after it.
+    pub async fn wait_for_peer_end(&self) {
+        loop {
+            poll_fn(|context| self.poll_ahead(context)).await;
+            if self.is_closed_by_peer() {
+                return;
+            }
+            tokio::time::sleep(END_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Reads ahead; ready at the end of the connection, or if no more bytes may be read.
+    fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.lock();
+        loop {
+            if state.phase != RequestPhase::AwaitsResponse || state.server_waits {
+                return Poll::Pending;
+            }
+            if state.ended || state.ahead.len() >= MAX_AHEAD_BYTES {
+                return Poll::Ready(());
+            }
+            let mut bytes = [0; AHEAD_READ_BYTES];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            // An error ends the connection, which is all that matters here.
+            drop(ready!(state.poll_read(context, &mut buffer)));
+            state.ahead.extend_from_slice(buffer.filled());
+        }
+    }
+
+    fn is_closed_by_peer(&self) -> bool {
+        let state = self.lock();
+        // The end is reported even if there are bytes before it that nobody has read.
+        let ready = state.stream.ready(Interest::READABLE).now_or_never();
+        state.ended || matches!(ready, Some(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Closes the connection so that the peer can read all that was written to it.
     ///
     /// The system resets a connection that is closed with unread bytes and discards what it has not sent
@@ -113,7 +200,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.lock().poll_read(context, buffer)
+        let mut state = self.lock();
+        if !state.ahead.is_empty() {
+            let length = state.ahead.len().min(buffer.remaining());
+            buffer.put_slice(&state.ahead.split_to(length));
+            state.server_waits = false;
+            return Poll::Ready(Ok(()));
+        }
+        let poll = state.poll_read(context, buffer);
+        state.server_waits = poll.is_pending();
+        poll
     }
 }
 
