Reject a call whose cancellation arrives before it

A request with a large body ran although its caller had left, if it was sent to another daemon and its caller left while it was on the link (GONE).

Cause: a large message is sent in segments, and small ones go between them. A cancellation arrived before the last segment of its call, was unknown there and was dropped; the call then began.

Now the cancellation of an unknown call is kept as long as an outcome, and the call is rejected when it arrives, as one that was resumed before it arrived already is.

Measured: call_whose_cancellation_arrives_first_is_not_run fails without the change (the call is inserted) and passes with it.

--- a/src/mesh/executor/calls.rs
+++ b/src/mesh/executor/calls.rs
@@ -111,13 +111,19 @@
     }
 
     /// Aborts a call that its entry no longer waits for.
+    ///
+    /// A cancellation may arrive before a call with a large body, which is sent in segments. Such a call is
+    /// rejected once it arrives.
     pub fn cancel(&mut self, id: CallId, now: Instant) {
-        if let Some(CallState::Running {
-            task: Some(task), ..
-        }) = self.calls.get(&id)
-        {
-            task.abort();
-            self.retain(id, CallState::Rejected, now);
+        match self.calls.get(&id) {
+            Some(CallState::Running { task, .. }) => {
+                if let Some(task) = task {
+                    task.abort();
+                }
+                self.retain(id, CallState::Rejected, now);
+            }
+            Some(_) => {}
+            None => self.retain(id, CallState::Rejected, now),
         }
     }
 
--- a/tests/mesh/calls.rs
+++ b/tests/mesh/calls.rs
@@ -99,6 +99,27 @@
         .await;
 }
 
+/// Guards against a call with a large body that runs although its caller has left: its cancellation is sent
+/// between its segments and arrives first (GONE, found with review/9).
+#[tokio::test]
+async fn call_whose_cancellation_arrives_first_is_not_run() {
+    LocalSet::new()
+        .run_until(async {
+            let link = connect_link().await;
+            let mut table = CallTable::from_limit(MAX_OUTCOME_BYTES);
+            let now = Instant::now();
+            table.cancel(ID, now);
+            assert!(!table.insert(ID, running_call(false, true, &link)));
+            let (next, later) = ((ID.0, 2), now + COMPLETED_CALL_RETENTION);
+            table.cancel(next, later);
+            assert!(
+                table.insert(ID, running_call(false, true, &link)),
+                "a cancellation is kept no longer than an outcome"
+            );
+        })
+        .await;
+}
+
 /// Guards against the fault of review/2, by which the retained outcomes of a burst filled the memory of the
 /// daemon, which the platform then killed (Fault).
 #[tokio::test]
