Test callers that leave or are refused at src/daemon

Of these 5 scenarios 3 fail on: with requests sent behind the first one the endpoint works on for 4 s after the caller has left, and a refused caller can't send its second block. The two with nothing behind the first request pass there.

--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -3,6 +3,7 @@
 //! Assertions about executed requests use the endpoints' own records, never the daemons' counters.
 
 mod at_most_once;
+mod caller_connections;
 mod configuration;
 mod forwarding;
 mod keys;
