Forward no response whose status no final response has

An endpoint in trouble may send a status that RFC 9110 gives no final response.

Cause: the classification of a response looked at its seal, identity and encoding, and left the status to hyper, which takes 100 to 999.

Now such a response leaves the outcome unknown and closes the connection. The response of another daemon, which may be older, is checked too, and a status check with such a status says nothing. src/daemon has code 309 for it. What is not in 200 to 599 can't get past the one function that all of them use.

--- a/src/codes/result.rs
+++ b/src/codes/result.rs
@@ -101,6 +101,7 @@
     RequestTooOld = 304, 409, "The Idempotency-Key is older than what is remembered.";
     AnswerTooLarge = 305, 502, "The endpoint's answer was larger than the bound.";
     AnswerCut = 306, 502, "The endpoint's answer broke off.";
+    AnswerInvalid = 309, 502, "The endpoint's answer had no valid status.";
     StillUnknown = 307, 504, "The request was handed to an endpoint before and no answer came.";
     OwnerUnreached = 308, 504, "The owner of the request could not be reached in time.";
 }
--- a/src/daemon/traffic/dispatch.rs
+++ b/src/daemon/traffic/dispatch.rs
@@ -142,6 +142,7 @@
             | ResultCode::ConnectionLost
             | ResultCode::DeadlinePassed
             | ResultCode::AnswerCut
+            | ResultCode::AnswerInvalid
     )
 }
 
--- a/src/mesh/control/peer_link.rs
+++ b/src/mesh/control/peer_link.rs
@@ -26,9 +26,11 @@
 use super::super::link::LinkMessage;
 use super::super::link::LinkReader;
 use super::super::link::LinkSender;
+use super::super::link::ResponseHead;
 use super::super::state::MeshState;
 use crate::clock::time_since_boot;
 use crate::observe::LogEvent;
+use crate::transport::is_final_status;
 
 /// Timeout of a connection attempt, and then of the peer's hello frame.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -190,14 +192,9 @@
             }
             LinkFrame::Response(head) => {
                 peer.record_load(head.in_hand);
-                let response = EndpointResponse {
-                    status: StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY),
-                    headers: self.state.header_codec.decode(&head.headers),
-                    usage: head.usage,
-                    body: bytes.slice(body_offset..),
-                };
-                let outcome = CallOutcome::Completed(response);
-                peer.resolve(head.call, PeerReply::Outcome(outcome));
+                let call = head.call;
+                let outcome = self.decode_response(peer, head, bytes.slice(body_offset..));
+                peer.resolve(call, PeerReply::Outcome(outcome));
             }
             LinkFrame::Refused {
                 call,
@@ -223,6 +220,24 @@
         Ok(())
     }
 
+    /// Returns the outcome that a response says. The daemon that sent it may be of another version, which
+    /// forwards more statuses.
+    fn decode_response(&self, peer: &Peer, head: ResponseHead<'_>, body: Bytes) -> CallOutcome {
+        let status = StatusCode::from_u16(head.status).ok();
+        let Some(status) = status.filter(|status| is_final_status(*status)) else {
+            let (call, status) = (head.call, head.status);
+            let event = LogEvent::CallUnknown.number();
+            tracing::warn!(event, peer = %peer.address, call, status, "no final response has this status");
+            return CallOutcome::Unknown;
+        };
+        CallOutcome::Completed(EndpointResponse {
+            status,
+            headers: self.state.header_codec.decode(&head.headers),
+            usage: head.usage,
+            body,
+        })
+    }
+
     fn handle_status(&mut self, peer: &Peer, sequence: u32, status: &DaemonStatus) {
         peer.handle_status(status);
         self.state.apply_evacuations(&status.evacuations, "peer");
--- a/src/mesh/executor/classify.rs
+++ b/src/mesh/executor/classify.rs
@@ -6,6 +6,7 @@
 use super::super::header_names::HeaderNames;
 use super::super::link::RefusalCause;
 use super::call::CallOutcome;
+use crate::transport::is_final_status;
 
 /// Class of a response, which decides the outcome of the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +15,8 @@
     Valid,
     /// The endpoint has not run the call.
     Refused(RefusalCause),
+    /// No final response has this status; the call may have run.
+    InvalidStatus,
     /// The response belongs to another call or did not come from the endpoint; the call may have
     /// run.
     Foreign,
@@ -30,6 +33,9 @@
     headers: &HeaderMap,
     reused: bool,
 ) -> ResponseClass {
+    if !is_final_status(status) {
+        return ResponseClass::InvalidStatus;
+    }
     let echoed_id = headers
         .get(&header_names.attempt)
         .map(|value| value.as_bytes());
--- a/src/mesh/executor/forward.rs
+++ b/src/mesh/executor/forward.rs
@@ -142,6 +142,11 @@
             &head.headers,
             connection.reused,
         );
+        if class == ResponseClass::InvalidStatus {
+            let error = format!("no final response has the status {}", head.status.as_u16());
+            self.log_unknown_outcome(call, &error);
+            return CallOutcome::Unknown;
+        }
         if class == ResponseClass::Foreign {
             self.log_unknown_outcome(call, "the response does not belong to this call");
             return CallOutcome::Unknown;
--- a/src/mesh/executor/status_check.rs
+++ b/src/mesh/executor/status_check.rs
@@ -18,6 +18,7 @@
 use super::pool::connect;
 use crate::decisions::announcement::EndpointAnnouncement;
 use crate::decisions::announcement::EndpointStatus;
+use crate::transport::is_final_status;
 
 /// Time in which an endpoint answers; one that is full may not have a slot for the check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -108,6 +109,7 @@
         .get(&names.leaving)
         .is_some_and(|value| value.as_bytes() == b"1");
     match (answered_by, status) {
+        _ if !is_final_status(status) => EndpointStatus::Unknown,
         _ if leaves => EndpointStatus::Unavailable,
         (Some(false), _) => EndpointStatus::Unavailable,
         (Some(true), StatusCode::OK) => EndpointStatus::Serving,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 mod request_body;
 mod server;
 mod shared_stream;
+mod status;
 
 #[cfg(feature = "product")]
 pub use pool::BufferedResponse;
@@ -18,3 +19,4 @@
 pub use request_body::RequestBody;
 pub use server::serve_connection;
 pub use server::ConnectionError;
+pub use status::is_final_status;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
+use super::status::is_final_status;
 use crate::codes::ResultCode;
 
 /// Maximum number of idle connections per address.
@@ -67,6 +68,9 @@
     /// The response body exceeds the limit.
     #[error("the response of {0} is larger than the limit")]
     ResponseTooLarge(SocketAddr),
+    /// No final response has the status of the response; the request may have run.
+    #[error("the response of {0} has an invalid status")]
+    InvalidStatus(SocketAddr),
     /// The connection was lost in the middle of the response.
     #[error("the response of {0} is incomplete")]
     ResponseTruncated(SocketAddr),
@@ -80,6 +84,7 @@
             Self::ConnectionLost(_) => ResultCode::ConnectionLost,
             Self::TimedOut(_) => ResultCode::DeadlinePassed,
             Self::ResponseTooLarge(_) => ResultCode::AnswerTooLarge,
+            Self::InvalidStatus(_) => ResultCode::AnswerInvalid,
             Self::ResponseTruncated(_) => ResultCode::AnswerCut,
         }
     }
@@ -131,6 +136,9 @@
             }
             Ok(Ok(response)) => response,
         };
+        if !is_final_status(response.status()) {
+            return Err(SendError::InvalidStatus(address));
+        }
         let reading = read_response(address, response, options.max_answer_bytes);
         let Ok(response) = timeout_at(deadline, reading).await else {
             return Err(self.retire_timed_out(address));
--- a/tests/mesh/classify.rs
+++ b/tests/mesh/classify.rs
@@ -21,6 +21,9 @@
 #[case::shed(503, &[("x-attempt", "a"), ("x-not-run", "1")], ResponseClass::Refused(RefusalCause::EndpointShed))]
 #[case::late_refusal_of_another_call(503, &[("x-attempt", "b"), ("x-not-run", "1")], ResponseClass::Foreign)]
 #[case::another_endpoint(421, &[("x-attempt", "a")], ResponseClass::Refused(RefusalCause::EndpointReplaced))]
+#[case::switched_protocol(101, &[("x-attempt", "a"), ("x-seal", "s")], ResponseClass::InvalidStatus)]
+#[case::status_of_no_class(600, &[("x-attempt", "a"), ("x-seal", "s")], ResponseClass::InvalidStatus)]
+#[case::refusal_with_such_a_status(999, &[("x-attempt", "a"), ("x-not-run", "1")], ResponseClass::InvalidStatus)]
 fn response_class_follows_from_status_and_headers(
     #[case] status: u16,
     #[case] pairs: &[(&'static str, &'static str)],
@@ -65,6 +68,8 @@
 #[case::another_endpoint(200, &[("x-endpoint", "b")], EndpointStatus::Unavailable)]
 #[case::without_identity(200, &[], EndpointStatus::Unknown)]
 #[case::no_such_path(404, &[], EndpointStatus::Unknown)]
+#[case::switched_protocol(101, &[("x-endpoint", "b")], EndpointStatus::Unknown)]
+#[case::status_of_no_class(600, &[("x-endpoint", "a"), ("x-leaving", "1")], EndpointStatus::Unknown)]
 fn answer_to_a_status_check_tells_whether_the_endpoint_serves(
     #[case] status: u16,
     #[case] pairs: &[(&'static str, &'static str)],
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -5,6 +5,7 @@
 mod at_most_once;
 mod caller_connections;
 mod configuration;
+mod endpoint_statuses;
 mod forwarding;
 mod keys;
 mod log_client;
