Wait at a stop until other daemons have the last responses

Responses that a stopping daemon had sent to other daemons were cut on slow links. Requests that may run once ended as unknown though they had run.

Cause: the daemon ended once its responses were in the send buffers of its links.

Now the writing side of each link is closed first, and the daemon reads on until the peer has closed its side, which it does after the last byte. The listener is closed before, so that peers don't open the links again.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::control::confirm_endpoints;
@@ -28,10 +29,18 @@
 /// the socket buffers are sent.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum time in which other daemons receive the last responses and close their links. One that is suspended
+/// closes none.
+const MAX_LINK_CLOSE_TIME: Duration = Duration::from_secs(2);
+/// Interval between two checks for links that are still open.
+const LINK_CLOSE_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A running daemon, which must be used on a thread with a `LocalSet`.
 pub struct MeshDaemon {
     state: Rc<MeshState>,
     stop: watch::Sender<bool>,
+    /// Accepts the links that other daemons open.
+    link_listener: JoinHandle<()>,
 }
 
 impl MeshDaemon {
@@ -52,12 +61,16 @@
         tracing::warn!(event, vm = settings.vm, "daemon started");
         let state = MeshState::new(settings, header_names, decode_config, clock);
         let (stop, stopped) = watch::channel(false);
-        tokio::task::spawn_local(accept_links(state.clone(), links));
+        let link_listener = tokio::task::spawn_local(accept_links(state.clone(), links));
         tokio::task::spawn_local(serve_callers(state.clone(), callers, stopped));
         tokio::task::spawn_local(update_shares(state.clone()));
         tokio::task::spawn_local(confirm_endpoints(state.clone()));
         tokio::task::spawn_local(track_coldness(state.clone()));
-        Ok(Self { state, stop })
+        Ok(Self {
+            state,
+            stop,
+            link_listener,
+        })
     }
 
     /// Returns the state that the adapter updates.
@@ -88,6 +101,13 @@
         while started.elapsed() < grace && self.is_busy() {
             tokio::time::sleep(DRAIN_INTERVAL).await;
         }
+        // Other daemons that find the listener closed don't open their links again.
+        self.link_listener.abort();
+        self.state.close_links();
+        let link_limit = grace.min(started.elapsed() + MAX_LINK_CLOSE_TIME);
+        while started.elapsed() < link_limit && self.state.open_links() > 0 {
+            tokio::time::sleep(LINK_CLOSE_INTERVAL).await;
+        }
         let event = LogEvent::DaemonStopped.number();
         let link_bytes = self.state.link_bytes_summary();
         tracing::warn!(
--- a/src/mesh/executor/serve.rs
+++ b/src/mesh/executor/serve.rs
@@ -70,6 +70,7 @@
         state.add_peer(*address);
     }
     sender.send(&LinkFrame::Report(state.report()), &[]);
+    let _guard = LinkGuard::from_state(&state);
     state.add_subscriber(sender.clone());
     while let Ok(Ok(Some(message))) = timeout(SILENCE_TIMEOUT, reader.next()).await {
         if let Err(error) = handle_frame(&state, &hello, &sender, &message) {
@@ -82,6 +83,24 @@
     calls.close_link(hello.incarnation, &sender, now);
 }
 
+/// Counts a link as open until the peer has closed it.
+struct LinkGuard<'a> {
+    state: &'a MeshState,
+}
+
+impl<'a> LinkGuard<'a> {
+    fn from_state(state: &'a MeshState) -> Self {
+        state.adjust_open_links(1);
+        Self { state }
+    }
+}
+
+impl Drop for LinkGuard<'_> {
+    fn drop(&mut self) {
+        self.state.adjust_open_links(-1);
+    }
+}
+
 /// Reads the first frame of a link; returns none if it is missing or is not a hello frame.
 pub async fn read_hello(reader: &mut LinkReader) -> Option<LinkHello> {
     let message = timeout(SILENCE_TIMEOUT, reader.next()).await.ok()?.ok()??;
--- a/src/mesh/link/stream.rs
+++ b/src/mesh/link/stream.rs
@@ -32,6 +32,9 @@
 /// Capacity of a write buffer up to which an idle link keeps it.
 const MAX_IDLE_BUFFER_BYTES: usize = 1024;
 
+/// Message after which no other one is written. No frame is empty.
+const END_OF_FRAMES: Bytes = Bytes::new();
+
 /// Reads the messages that the peer sends.
 #[derive(Debug)]
 pub struct LinkReader {
@@ -93,6 +96,12 @@
         sent
     }
 
+    /// Queues the end of the connection, which is written after all frames that are queued already.
+    pub fn close(&self) {
+        // If the queue is closed, the connection has ended.
+        drop(self.queue.send(END_OF_FRAMES));
+    }
+
     /// Sets whether the peer is in another failure domain, for the byte counts. Until the peer is
     /// identified, its bytes count as sent to another one.
     pub fn set_crosses_domains(&self, crosses: bool) {
@@ -161,6 +170,10 @@
         loop {
             // Other tasks may have queued more messages by now; they are sent with one write.
             while let Some(message) = next.take().or_else(|| frames.try_recv().ok()) {
+                if message == END_OF_FRAMES {
+                    frames.close();
+                    continue;
+                }
                 taken += 1;
                 segments.push(message, &mut buffer);
                 if buffer.len() >= SEGMENT_BYTES {
--- a/src/mesh/state/mod.rs
+++ b/src/mesh/state/mod.rs
@@ -104,6 +104,8 @@
     closes_at: Cell<Option<BootTime>>,
     open_requests: Cell<u32>,
     open_connections: Cell<u32>,
+    /// Links on which other daemons send calls.
+    open_links: Cell<u32>,
 }
 
 impl MeshState {
@@ -162,6 +164,7 @@
             closes_at: Cell::new(None),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            open_links: Cell::new(0),
         })
     }
 
@@ -352,6 +355,26 @@
             .set(open_connections.saturating_add_signed(change));
     }
 
+    /// Returns the number of links that other daemons have opened and not closed.
+    pub fn open_links(&self) -> u32 {
+        self.open_links.get()
+    }
+
+    /// Adds `change` to the number of links that other daemons have opened.
+    pub fn adjust_open_links(&self, change: i32) {
+        let open_links = self.open_links.get();
+        self.open_links
+            .set(open_links.saturating_add_signed(change));
+    }
+
+    /// Closes the links that other daemons have opened. Each is open until its peer has received all that
+    /// was sent on it.
+    pub fn close_links(&self) {
+        for subscriber in self.subscribers.borrow().iter() {
+            subscriber.close();
+        }
+    }
+
     /// Returns the number of callers' requests that have no response yet.
     pub fn open_requests(&self) -> u32 {
         self.open_requests.get()
