--- a/src/transport/shared_stream.rs
+++ b/src/transport/shared_stream.rs
@@ -101,9 +101,10 @@
 
     /// Waits until the peer has left while a request of it awaits its response.
     ///
-    /// The server stops to read once it holds bytes of a further request, and would not see the end of the
-    /// connection before it takes up that request. The bytes that are read here are given to it later. The
-    /// task that runs the server must poll this future after it.
+    /// The server stops reading once it holds bytes of a further request, and would not see the end of the
+    /// connection before it takes up that request. The bytes that are read here are given to it later. See
+    /// `docs/incidents/callers-that-sent-ahead-and-left.md`. The task that runs the server must poll this
+    /// future after the server's.
     pub async fn wait_for_peer_end(&self) {
         loop {
             poll_fn(|context| self.poll_ahead(context)).await;
@@ -143,7 +144,8 @@
     ///
     /// The system resets a connection that is closed with unread bytes and discards what it has not sent
     /// yet. So only the writing side is closed at first, and what the peer still sends is read and discarded
-    /// until it closes its side, sends nothing for [`LINGER_IDLE_TIMEOUT`] or [`MAX_LINGER_TIME`] is over.
+    /// until it closes its side, sends nothing for [`LINGER_IDLE_TIMEOUT`] or [`MAX_LINGER_TIME`] is over. See
+    /// `docs/incidents/reset-with-unread-bytes.md`.
     pub async fn close(self) {
         if self.lock().ended {
             return;
