Hold the future of a request once in a caller's connection

The wrapper that notes the end of a request awaited the request's future in an async block, which keeps it twice: captured, and as what it awaits. Map runs the same code behind one copy of the future.

--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::pin;
 
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
@@ -51,12 +52,11 @@
         let stream = &stream;
         stream.begin_request();
         let request = request.map(|body| RequestBody::from_incoming(body, stream.clone()));
-        let response = respond(request);
-        async move {
-            let response = response.await;
+        // An async block would hold the future twice: as its capture and as what it awaits.
+        respond(request).map(|response| {
             stream.end_request();
             Ok::<_, Infallible>(response)
-        }
+        })
     });
     let served = {
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream.clone()), service));
